--- /dev/null
+++ b/control/FleetController.cpp
@@ -0,0 +1,583 @@
+#include "control/FleetController.hpp"
+
+#include "core/Log.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace crocusslip::control {
+
+namespace {
+
+using coordination::PlacementOrder;
+using coordination::PlacementVerb;
+using coordination::WeightTier;
+using transport::Task;
+
+constexpr std::chrono::milliseconds kDecideInterval{ 40 };
+constexpr std::chrono::milliseconds kIdleInterval{ 100 };
+/// Beyond the lease of the holder before, for the clocks' differences.
+constexpr std::chrono::milliseconds kLeaseMargin{ 200 };
+constexpr std::chrono::milliseconds kOrderRetry{ 100 };
+constexpr int kOrderTries = 40;
+/// Sends of one order without an answer.
+constexpr int kUnknownTries = 4;
+constexpr std::chrono::milliseconds kUnloadTime{ 20 };
+constexpr std::chrono::milliseconds kLoadSlack{ 50 };
+constexpr std::chrono::milliseconds kReportInterval{ 200 };
+/// Longest time that an order's effect is waited for.
+constexpr std::chrono::seconds kLongestEffect{ 60 };
+constexpr std::chrono::milliseconds kRefreshInterval{ 1000 };
+constexpr std::chrono::milliseconds kLongestWait{ 1000 };
+
+std::int64_t
+Milliseconds(core::Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+const char*
+NameOf(WeightTier aTier)
+{
+  switch (aTier) {
+    case WeightTier::Memory:
+      return "memory";
+    case WeightTier::Disk:
+      return "disk";
+    case WeightTier::Store:
+      return "store";
+  }
+  return "";
+}
+
+const char*
+NameOf(OrderReply aReply)
+{
+  switch (aReply) {
+    case OrderReply::Accepted:
+      return "accepted";
+    case OrderReply::Holds:
+      return "holds";
+    case OrderReply::Conflict:
+      return "conflict";
+    case OrderReply::Fenced:
+      return "fenced";
+    case OrderReply::Elsewhere:
+      return "elsewhere";
+    case OrderReply::Invalid:
+      return "invalid";
+    case OrderReply::Unknown:
+      return "unknown";
+  }
+  return "";
+}
+
+} // namespace
+
+FleetController::FleetController(transport::asio::io_context& aLoop,
+                                 GroupHost& aGroup,
+                                 BackendPort& aPort,
+                                 const core::Clock& aClock,
+                                 ReadServices aReadServices,
+                                 FleetControllerSettings aSettings)
+  : loop_(aLoop)
+  , group_(aGroup)
+  , port_(aPort)
+  , clock_(aClock)
+  , readServices_(std::move(aReadServices))
+  , settings_(std::move(aSettings))
+{
+}
+
+void
+FleetController::Start()
+{
+  transport::Spawn(loop_, [this] { return ListLoop(); });
+  transport::Spawn(loop_, [this] { return DecideLoop(); });
+}
+
+void
+FleetController::Changed()
+{
+  // Called under the group's state lock, so without mutex_. A host that began
+  // to wait in between sees the change at the end of its wait.
+  changed_.notify_all();
+}
+
+bool
+FleetController::Leads(core::Term aTerm) const
+{
+  return group_.MayDecide() && group_.Term() == aTerm;
+}
+
+void
+FleetController::BeginTerm(core::Term aTerm)
+{
+  term_ = aTerm;
+  ordersFrom_ = clock_.Now() + settings_.holderLease_ + kLeaseMargin;
+  fenced_ = false;
+  listed_ = false;
+  routesVersion_ = 0;
+  table_ = {};
+  placement_ = {};
+  limits_.clear();
+  engines_.clear();
+  urgentSent_.clear();
+  core::Log(core::LogLevel::Info,
+            "leads the fleet",
+            { { "term", std::to_string(aTerm.Value()) } });
+}
+
+void
+FleetController::TakeRoutes()
+{
+  const auto group = group_.Current();
+  if (!group) {
+    return;
+  }
+  std::string text;
+  const std::uint64_t version =
+    group->WithState([&](const state::StateMachine& aState) {
+      if (aState.Routes().Version() > routesVersion_) {
+        text = aState.Routes().Text();
+      }
+      return aState.Routes().Version();
+    });
+  if (text.empty()) {
+    return;
+  }
+  routesVersion_ = version;
+  auto services = readServices_(text);
+  if (!services.Ok()) {
+    core::Log(core::LogLevel::Error,
+              "services not read",
+              { { "error", services.Failure().Message() } });
+    return;
+  }
+  limits_ = std::move(services.Value());
+  placement_.SetLimits(limits_);
+}
+
+Task<void>
+FleetController::ListLoop()
+{
+  transport::asio::steady_timer timer(loop_);
+  while (true) {
+    const core::MonotonicTime begin = clock_.Now();
+    if (group_.MayDecide()) {
+      const core::Term term = group_.Term();
+      auto list = co_await port_.ReadList();
+      const std::lock_guard lock(mutex_);
+      if (term_ == term && list.Ok()) {
+        const core::MonotonicTime now = clock_.Now();
+        table_.OnList(list.Value(), now);
+        std::set<core::ServerId> usable;
+        for (const coordination::ListedServer& server : list.Value()) {
+          const bool engine = limits_.contains(server.service_);
+          if (server.state_ == coordination::BackendState::Ready && engine) {
+            usable.insert(server.server_);
+            placement_.AddServer(server.server_, server.service_);
+            placement_.OnContent(server.server_, server.content_, now);
+          } else {
+            placement_.RemoveServer(server.server_);
+            engines_.erase(server.server_);
+          }
+        }
+        for (const auto& [id, row] : table_.Rows()) {
+          if (row.row_.state_ == coordination::BackendState::Gone) {
+            placement_.RemoveServer(id);
+            engines_.erase(id);
+          }
+          const auto limits = limits_.find(row.row_.service_);
+          if (limits != limits_.end()) {
+            table_.SetMemory(id, limits->second.memoryTokens_);
+          }
+        }
+        listed_ = listed_ || !limits_.empty();
+        ShowModels();
+        changed_.notify_all();
+      } else if (!list.Ok()) {
+        core::Log(core::LogLevel::Warning,
+                  "list of servers not read",
+                  { { "error", list.Failure().Message() } });
+      }
+    }
+    const core::Duration spent = clock_.Now() - begin;
+    const bool first = !listed_;
+    const core::Duration interval = first ? core::Duration(kIdleInterval * 2)
+                                          : core::Duration(settings_.listInterval_);
+    co_await transport::Sleep(
+      timer,
+      std::max<core::Duration>(interval - spent, std::chrono::milliseconds(50)));
+  }
+}
+
+void
+FleetController::ShowModels()
+{
+  for (const auto& [id, row] : table_.Rows()) {
+    if (limits_.contains(row.row_.service_)) {
+      table_.SetModels(id, placement_.Usable(id));
+    }
+  }
+}
+
+std::vector<PlacementOrder>
+FleetController::Decide()
+{
+  const core::MonotonicTime now = clock_.Now();
+  TakeRoutes();
+  table_.Expire(now);
+  placement_.OnDemand(table_.TakeDemand(), now);
+  for (const auto& [id, row] : table_.Rows()) {
+    if (limits_.contains(row.row_.service_)) {
+      placement_.OnActive(id, table_.ActiveAt(id));
+    }
+  }
+  std::vector<PlacementOrder> orders;
+  if (listed_ && !fenced_ && now >= ordersFrom_) {
+    orders = placement_.Decide(now);
+  }
+  const std::uint64_t before = table_.UrgentChange();
+  ShowModels();
+  if (table_.UrgentChange() != before) {
+    changed_.notify_all();
+  }
+  return orders;
+}
+
+Task<void>
+FleetController::DecideLoop()
+{
+  transport::asio::steady_timer timer(loop_);
+  while (true) {
+    const bool leads = group_.MayDecide();
+    if (leads) {
+      const core::Term term = group_.Term();
+      std::vector<PlacementOrder> orders;
+      {
+        const std::lock_guard lock(mutex_);
+        if (term != term_) {
+          BeginTerm(term);
+        }
+        orders = Decide();
+      }
+      for (const PlacementOrder& order : orders) {
+        transport::Spawn(
+          loop_, [this, order, term] { return RunOrder(order, term); });
+      }
+    }
+    co_await transport::Sleep(timer, leads ? kDecideInterval : kIdleInterval);
+  }
+}
+
+std::string
+FleetController::AddressOf(const core::ServerId& aServer)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = table_.Rows().find(aServer);
+  return found == table_.Rows().end() ? "" : found->second.row_.address_;
+}
+
+Task<std::optional<EngineReport>>
+FleetController::Report(core::ServerId aServer)
+{
+  const std::string address = AddressOf(aServer);
+  if (address.empty()) {
+    co_return std::nullopt;
+  }
+  auto report = co_await port_.ReadReport(address, aServer);
+  if (!report.Ok()) {
+    core::Log(core::LogLevel::Info,
+              "report not read",
+              { { "server", aServer.Value() },
+                { "error", report.Failure().Message() } });
+    co_return std::nullopt;
+  }
+  const std::lock_guard lock(mutex_);
+  engines_[aServer].sequence_ = report.Value().sequence_;
+  placement_.OnCopies(aServer, report.Value().copies_);
+  co_return std::move(report.Value());
+}
+
+Task<void>
+FleetController::RunOrder(PlacementOrder aOrder, core::Term aTerm)
+{
+  const core::MonotonicTime begin = clock_.Now();
+  const bool done = co_await CarryOut(aOrder, aTerm);
+  const core::MonotonicTime now = clock_.Now();
+  core::Log(core::LogLevel::Info,
+            done ? "order carried out" : "order given up",
+            { { "server", aOrder.server_.Value() },
+              { "verb",
+                aOrder.verb_ == PlacementVerb::Load ? "load" : "unload" },
+              { "model", aOrder.model_.Value() },
+              { "adapter", aOrder.adapter_ },
+              { "from", NameOf(aOrder.tier_) },
+              { "took_ms", std::to_string(Milliseconds(now - begin)) } });
+  {
+    const std::lock_guard lock(mutex_);
+    if (term_ != aTerm) {
+      co_return;
+    }
+    placement_.OnOrderDone(aOrder, done, now);
+    ShowModels();
+  }
+  changed_.notify_all();
+  if (!done && Leads(aTerm)) {
+    co_await Refresh(aOrder.server_, aTerm);
+  }
+}
+
+Task<bool>
+FleetController::CarryOut(PlacementOrder aOrder, core::Term aTerm)
+{
+  transport::asio::steady_timer timer(loop_);
+  int unanswered = 0;
+  for (int tries = 0; tries < kOrderTries; ++tries) {
+    std::optional<std::int64_t> sequence;
+    {
+      const std::lock_guard lock(mutex_);
+      sequence = engines_[aOrder.server_].sequence_;
+    }
+    if (!sequence) {
+      const auto report = co_await Report(aOrder.server_);
+      if (!report) {
+        co_return false;
+      }
+      sequence = report->sequence_;
+    }
+    const std::string address = AddressOf(aOrder.server_);
+    if (address.empty() || !Leads(aTerm)) {
+      co_return false;
+    }
+    const OrderSender sender{ settings_.holder_, aTerm.Value() };
+    const OrderReply reply =
+      co_await port_.SendOrder(address, aOrder, *sequence, sender);
+    if (reply != OrderReply::Accepted && reply != OrderReply::Holds) {
+      core::Log(core::LogLevel::Info,
+                "order not accepted",
+                { { "server", aOrder.server_.Value() },
+                  { "model", aOrder.model_.Value() },
+                  { "answer", NameOf(reply) },
+                  { "sequence", std::to_string(*sequence) } });
+    }
+    switch (reply) {
+      case OrderReply::Accepted: {
+        {
+          const std::lock_guard lock(mutex_);
+          engines_[aOrder.server_].sequence_ = *sequence + 1;
+        }
+        co_return co_await AwaitEffect(aOrder, aTerm);
+      }
+      case OrderReply::Holds: {
+        // Adapters that no request uses are unloaded with this answer.
+        const std::lock_guard lock(mutex_);
+        engines_[aOrder.server_].sequence_.reset();
+        co_return true;
+      }
+      case OrderReply::Fenced: {
+        const std::lock_guard lock(mutex_);
+        fenced_ = true;
+        co_return false;
+      }
+      case OrderReply::Invalid:
+      case OrderReply::Elsewhere:
+        co_return false;
+      case OrderReply::Unknown:
+        // Sent again with the same sequence, only one of both can be accepted.
+        if (++unanswered >= kUnknownTries) {
+          co_return false;
+        }
+        break;
+      case OrderReply::Conflict: {
+        const std::lock_guard lock(mutex_);
+        engines_[aOrder.server_].sequence_.reset();
+        break;
+      }
+    }
+    co_await transport::Sleep(timer, kOrderRetry);
+  }
+  co_return false;
+}
+
+Task<bool>
+FleetController::AwaitEffect(PlacementOrder aOrder, core::Term aTerm)
+{
+  transport::asio::steady_timer timer(loop_);
+  const bool load = aOrder.verb_ == PlacementVerb::Load;
+  if (!aOrder.adapter_.empty()) {
+    co_await transport::Sleep(timer, load ? aOrder.expected_ : kUnloadTime);
+    co_return true;
+  }
+  bool quick = load && aOrder.tier_ != WeightTier::Store;
+  if (!load) {
+    const std::lock_guard lock(mutex_);
+    quick = !table_.ActiveAt(aOrder.server_).contains(aOrder.model_);
+  }
+  co_await transport::Sleep(timer,
+                            load ? aOrder.expected_ + kLoadSlack : kUnloadTime);
+  if (quick) {
+    co_return true;
+  }
+  const core::MonotonicTime until = clock_.Now() + kLongestEffect;
+  while (clock_.Now() < until && Leads(aTerm)) {
+    const auto report = co_await Report(aOrder.server_);
+    if (report && !report->busy_ &&
+        report->content_.models_.contains(aOrder.model_) == load) {
+      co_return true;
+    }
+    co_await transport::Sleep(timer, kReportInterval);
+  }
+  co_return false;
+}
+
+Task<void>
+FleetController::Refresh(core::ServerId aServer, core::Term aTerm)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    Engine& engine = engines_[aServer];
+    if (engine.refreshing_ ||
+        clock_.Now() < engine.refreshedAt_ + kRefreshInterval) {
+      co_return;
+    }
+    engine.refreshing_ = true;
+  }
+  const auto report = co_await Report(aServer);
+  const std::lock_guard lock(mutex_);
+  Engine& engine = engines_[aServer];
+  engine.refreshing_ = false;
+  engine.refreshedAt_ = clock_.Now();
+  if (report && !report->busy_ && term_ == aTerm) {
+    placement_.SetContent(aServer, report->content_);
+    ShowModels();
+  }
+}
+
+void
+FleetController::TakeReport(const wire::SyncRequest& aRequest,
+                            core::MonotonicTime aNow)
+{
+  const core::HostId host(aRequest.host);
+  std::map<core::ServerId, coordination::HostUse> uses;
+  for (const wire::ServerUse& use : aRequest.uses) {
+    coordination::HostUse out;
+    out.inFlight_ = static_cast<std::uint32_t>(std::max(0, use.inFlight));
+    out.tokens_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, use.tokens));
+    out.failures_ =
+      static_cast<std::uint32_t>(std::max(0, use.failures + use.unreachable));
+    out.successes_ = static_cast<std::uint32_t>(std::max(0, use.successes));
+    for (const std::string& model : use.active) {
+      out.active_.insert(core::ModelName(model));
+    }
+    const core::ServerId server(use.server);
+    if (!use.missing.empty()) {
+      transport::Spawn(loop_, [this, server, term = term_] {
+        return Refresh(server, term);
+      });
+    }
+    uses[server] = std::move(out);
+  }
+  table_.OnUses(host, uses, aNow);
+  std::map<core::ModelName, coordination::ModelDemand> demand;
+  for (const wire::ModelUse& use : aRequest.models) {
+    coordination::ModelDemand& out = demand[core::ModelName(use.model)];
+    out.waiting_ = static_cast<std::uint32_t>(std::max(0, use.waiting));
+    out.inFlight_ = static_cast<std::uint32_t>(std::max(0, use.inFlight));
+    out.arrivals_ = static_cast<std::uint32_t>(std::max(0, use.arrivals));
+    out.weight_ = std::max(0.0, use.worth);
+  }
+  table_.OnDemand(host, demand, aNow);
+}
+
+void
+FleetController::Sync(const wire::SyncRequest& aRequest,
+                      wire::SyncReply& aReply)
+{
+  if (!group_.MayDecide()) {
+    aReply.leaderAddress = group_.LeaderAddress();
+    return;
+  }
+  std::unique_lock lock(mutex_);
+  const core::HostId host(aRequest.host);
+  const core::Term term = term_;
+  TakeReport(aRequest, clock_.Now());
+  const bool known = aRequest.epoch == static_cast<std::int64_t>(term.Value());
+  const auto wait =
+    std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
+  if (known) {
+    changed_.wait_for(lock, wait, [&] {
+      return term_ != term || urgentSent_[host] != table_.UrgentChange() ||
+             routesVersion_ >
+               static_cast<std::uint64_t>(aRequest.routesVersion);
+    });
+  }
+  if (!group_.MayDecide() || term_ != group_.Term()) {
+    aReply.leaderAddress = group_.LeaderAddress();
+    return;
+  }
+  Fill(aRequest, aReply, clock_.Now());
+  urgentSent_[host] = table_.UrgentChange();
+}
+
+void
+FleetController::Fill(const wire::SyncRequest& aRequest,
+                      wire::SyncReply& aReply,
+                      core::MonotonicTime aNow)
+{
+  aReply.leader = true;
+  aReply.epoch = static_cast<std::int64_t>(term_.Value());
+  const bool known = aRequest.epoch == aReply.epoch;
+  // Until the list has been read, a host keeps what it holds.
+  aReply.complete = !known && listed_;
+  if (!listed_) {
+    aReply.epoch = aRequest.epoch;
+  }
+  const auto seen =
+    known ? static_cast<std::uint64_t>(aRequest.seen) : std::uint64_t{ 0 };
+  aReply.seen = static_cast<std::int64_t>(table_.Change());
+  if (listed_) {
+    for (const coordination::BackendRow& row :
+         table_.RowsFor(core::HostId(aRequest.host), seen)) {
+      wire::ServerRow out;
+      out.server = row.server_.Value();
+      out.address = row.address_;
+      out.serviceName = row.service_.Value();
+      out.failureDomain = row.failureDomain_.Value();
+      out.state = static_cast<std::int8_t>(row.state_);
+      out.slots = static_cast<std::int32_t>(row.slots_);
+      for (const core::ModelName& model : row.models_) {
+        out.models.push_back(model.Value());
+      }
+      out.inFlight = static_cast<std::int32_t>(row.othersInFlight_);
+      out.tokens = static_cast<std::int64_t>(row.othersTokens_);
+      out.suspect = row.suspect_;
+      out.memoryTokens = static_cast<std::int64_t>(row.memoryTokens_);
+      aReply.rows.push_back(std::move(out));
+    }
+  }
+  const auto group = group_.Current();
+  if (group) {
+    group->WithState([&](const state::StateMachine& aState) {
+      aReply.routesVersion =
+        static_cast<std::int64_t>(aState.Routes().Version());
+      if (aReply.routesVersion > aRequest.routesVersion) {
+        aReply.routes = aState.Routes().Text();
+      }
+    });
+  }
+  aReply.members = group_.MemberAddresses();
+  aReply.hosts = static_cast<std::int32_t>(table_.Hosts());
+  for (const auto& [model, ready] : placement_.Coming()) {
+    wire::ComingModel coming;
+    coming.model = model.Value();
+    coming.readyInMs = static_cast<std::int32_t>(
+      std::max<std::int64_t>(0, Milliseconds(ready - aNow)));
+    aReply.coming.push_back(std::move(coming));
+  }
+}
+
+} // namespace crocusslip::control
--- /dev/null
+++ b/control/FleetController.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "control/BackendPort.hpp"
+#include "control/GroupHost.hpp"
+#include "coordination/FleetTable.hpp"
+#include "coordination/ModelPlacement.hpp"
+#include "core/Clock.hpp"
+
+#include "fleet_types.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace crocusslip::control {
+
+struct FleetControllerSettings
+{
+  /// Name under which orders are given.
+  std::string holder_;
+  std::chrono::milliseconds listInterval_{ 1000 };
+  /// Two holders must not give orders within this time.
+  std::chrono::milliseconds holderLease_{ 3000 };
+};
+
+/// Reads the limits of services out of the published table of routes.
+using ReadServices =
+  std::function<core::Result<std::map<coordination::ServiceName,
+                                      coordination::EngineLimits>>(
+    const std::string&)>;
+
+/// While this process leads: reads the platform's list, merges the reports of
+/// the hosts, and gives the engines their orders. All of it starts anew with
+/// each term; what the engines hold is read from them.
+class FleetController
+{
+public:
+  FleetController(transport::asio::io_context& aLoop,
+                  GroupHost& aGroup,
+                  BackendPort& aPort,
+                  const core::Clock& aClock,
+                  ReadServices aReadServices,
+                  FleetControllerSettings aSettings);
+
+  void Start();
+  /// Wakes hosts that wait for a change.
+  void Changed();
+  /// A host's report; answers what the host has not seen. Waits up to the
+  /// time that the host allows. Called on threads of the RPC server.
+  void Sync(const wire::SyncRequest& aRequest, wire::SyncReply& aReply);
+
+private:
+  struct Engine
+  {
+    std::optional<std::int64_t> sequence_;
+    core::MonotonicTime refreshedAt_;
+    bool refreshing_ = false;
+  };
+
+  transport::Task<void> ListLoop();
+  transport::Task<void> DecideLoop();
+  transport::Task<void> RunOrder(coordination::PlacementOrder aOrder,
+                                 core::Term aTerm);
+  transport::Task<bool> CarryOut(coordination::PlacementOrder aOrder,
+                                 core::Term aTerm);
+  transport::Task<bool> AwaitEffect(coordination::PlacementOrder aOrder,
+                                    core::Term aTerm);
+  transport::Task<void> Refresh(core::ServerId aServer, core::Term aTerm);
+  /// Nothing when the report could not be read.
+  transport::Task<std::optional<EngineReport>> Report(core::ServerId aServer);
+  /// Whether this process still leads in that term.
+  bool Leads(core::Term aTerm) const;
+  void BeginTerm(core::Term aTerm);
+  void TakeRoutes();
+  std::vector<coordination::PlacementOrder> Decide();
+  void ShowModels();
+  std::string AddressOf(const core::ServerId& aServer);
+  void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
+  void Fill(const wire::SyncRequest& aRequest,
+            wire::SyncReply& aReply,
+            core::MonotonicTime aNow);
+
+  transport::asio::io_context& loop_;
+  GroupHost& group_;
+  BackendPort& port_;
+  const core::Clock& clock_;
+  const ReadServices readServices_;
+  const FleetControllerSettings settings_;
+
+  /// Lock order 1: the group's locks are taken under it. Guards all below.
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  core::Term term_;
+  core::MonotonicTime ordersFrom_;
+  bool fenced_ = false;
+  bool listed_ = false;
+  std::uint64_t routesVersion_ = 0;
+  coordination::FleetTable table_;
+  coordination::ModelPlacement placement_;
+  std::map<coordination::ServiceName, coordination::EngineLimits> limits_;
+  std::map<core::ServerId, Engine> engines_;
+  std::map<core::HostId, std::uint64_t> urgentSent_;
+};
+
+} // namespace crocusslip::control
--- a/control/Group.cpp
+++ b/control/Group.cpp
@@ -361,6 +361,13 @@
   status.first_ = node_->FirstIndex();
   status.last_ = node_->LastIndex();
   status.members_ = node_->Members();
+  status.membersCommitted_ = node_->MembersCommitted();
+  for (const state::GroupMember& member : status.members_.members_) {
+    if (const auto* progress = node_->FollowerProgress(member.id_)) {
+      status.followers_.push_back(
+        { member.id_, progress->AckedAt(), progress->Match() });
+    }
+  }
   status.counters_ = node_->Counters();
   status.halted_ = halted_;
   status.storageFull_ = storageFull_;
--- a/control/Group.hpp
+++ b/control/Group.hpp
@@ -24,6 +24,15 @@
 
 namespace crocusslip::control {
 
+/// What a leader knows of another member.
+struct FollowerContact
+{
+  core::MemberId member_;
+  /// When the newest answered heartbeat was sent; nothing before the first.
+  std::optional<core::MonotonicTime> answered_;
+  core::LogIndex match_;
+};
+
 /// What others may know of this member without waiting.
 struct GroupStatus
 {
@@ -36,6 +45,10 @@
   core::LogIndex last_;
   state::GroupMembers members_;
   coordination::RaftCounters counters_;
+  /// Whether the list of members is committed.
+  bool membersCommitted_ = false;
+  /// Empty unless this member leads.
+  std::vector<FollowerContact> followers_;
   bool halted_ = false;
   /// Proposals are refused until the disk has room again.
   bool storageFull_ = false;
--- a/control/Peers.hpp
+++ b/control/Peers.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/Group.hpp"
-#include "transport/HttpServer.hpp"
+#include "transport/TlsFiles.hpp"
 
 #include <chrono>
 #include <map>
--- /dev/null
+++ b/coordination/BackendView.cpp
@@ -0,0 +1,276 @@
+#include "coordination/BackendView.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace crocusslip::coordination {
+
+namespace {
+
+/// Failures in a row after which a server is left out.
+constexpr std::uint32_t kFailuresToLeaveOut = 2;
+constexpr std::chrono::milliseconds kFirstOut{ 1000 };
+constexpr std::chrono::milliseconds kLongestOut{ 8000 };
+/// Weight of a new latency in the mean.
+constexpr double kLatencyWeight = 0.2;
+/// Latency of a server that has not answered yet.
+constexpr double kUnknownLatencyMs = 20;
+/// Penalty of a server in another failure domain, as a share of the score.
+constexpr double kOtherDomain = 1.05;
+constexpr double kSuspectPenalty = 4;
+/// Share of a server's token memory that is filled by estimate; answers are
+/// often shorter than their limit, but an overfull server preempts.
+constexpr double kMemoryShare = 0.95;
+
+} // namespace
+
+BackendView::BackendView(core::FailureDomainId aOwn)
+  : own_(std::move(aOwn))
+{
+}
+
+void
+BackendView::Update(BackendRow aRow)
+{
+  Server& server = servers_[aRow.server_];
+  server.row_ = std::move(aRow);
+}
+
+void
+BackendView::Remove(const core::ServerId& aServer)
+{
+  servers_.erase(aServer);
+}
+
+std::vector<core::ServerId>
+BackendView::Ids() const
+{
+  std::vector<core::ServerId> ids;
+  for (const auto& [id, server] : servers_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+bool
+BackendView::Out(const Server& aServer, core::MonotonicTime aNow) const
+{
+  return aServer.outUntil_ && aNow < *aServer.outUntil_;
+}
+
+bool
+BackendView::HasPlace(const Server& aServer, const BackendNeed& aNeed) const
+{
+  const BackendRow& row = aServer.row_;
+  if (row.slots_ > 0 &&
+      row.othersInFlight_ + aServer.use_.inFlight_ >= row.slots_) {
+    return false;
+  }
+  if (row.memoryTokens_ == 0 || aNeed.tokens_ == 0) {
+    return true;
+  }
+  const std::uint64_t used = row.othersTokens_ + aServer.use_.tokens_;
+  const auto limit = static_cast<std::uint64_t>(
+    kMemoryShare * static_cast<double>(row.memoryTokens_));
+  return used == 0 || used + aNeed.tokens_ <= limit;
+}
+
+double
+BackendView::Score(const Server& aServer, core::MonotonicTime) const
+{
+  const BackendRow& row = aServer.row_;
+  const double slots = row.slots_ == 0 ? 1.0 : row.slots_;
+  double load = (row.othersInFlight_ + aServer.use_.inFlight_) / slots;
+  if (row.memoryTokens_ > 0) {
+    const double tokens =
+      static_cast<double>(row.othersTokens_ + aServer.use_.tokens_) /
+      static_cast<double>(row.memoryTokens_);
+    load = std::max(load, tokens);
+  }
+  const double latency =
+    aServer.latencyMs_ > 0 ? aServer.latencyMs_ : kUnknownLatencyMs;
+  double score = latency * (0.2 + load);
+  if (row.failureDomain_ != own_) {
+    score *= kOtherDomain;
+  }
+  if (row.suspect_ || aServer.failuresInRow_ > 0) {
+    score *= kSuspectPenalty;
+  }
+  return score;
+}
+
+Choice
+BackendView::Choose(const BackendNeed& aNeed,
+                    core::MonotonicTime aNow,
+                    core::Random& aRandom) const
+{
+  Choice choice;
+  const Server* best = nullptr;
+  double bestScore = 0;
+  const Server* lastResort = nullptr;
+  for (const auto& [id, server] : servers_) {
+    const BackendRow& row = server.row_;
+    if (row.service_ != aNeed.service_ || row.state_ != BackendState::Ready ||
+        aNeed.tried_.contains(id)) {
+      continue;
+    }
+    if (choice.fit_ == Fit::NoServer) {
+      choice.fit_ = Fit::NoModel;
+    }
+    if (!aNeed.model_.Empty() && !row.models_.contains(aNeed.model_)) {
+      continue;
+    }
+    if (Out(server, aNow)) {
+      if (lastResort == nullptr || *server.outUntil_ < *lastResort->outUntil_) {
+        lastResort = &server;
+      }
+      continue;
+    }
+    if (!HasPlace(server, aNeed)) {
+      choice.fit_ = Fit::Full;
+      continue;
+    }
+    // A little chance keeps hosts with equal pictures apart.
+    const double score =
+      Score(server, aNow) * (0.9 + 0.2 * aRandom.Uniform());
+    if (best == nullptr || score < bestScore) {
+      best = &server;
+      bestScore = score;
+    }
+  }
+  // When all that could run it are left out, the one that returns first is
+  // better than none: a common cause must not stop the whole service.
+  if (best == nullptr && choice.fit_ != Fit::Full && lastResort != nullptr) {
+    best = lastResort;
+  }
+  if (best != nullptr) {
+    choice.fit_ = Fit::Found;
+    choice.server_ = best->row_.server_;
+    choice.address_ = best->row_.address_;
+  }
+  return choice;
+}
+
+void
+BackendView::OnStart(const core::ServerId& aServer, std::uint64_t aTokens)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end()) {
+    ++found->second.use_.inFlight_;
+    found->second.use_.tokens_ += aTokens;
+  }
+}
+
+void
+BackendView::OnFinish(const core::ServerId& aServer,
+                      std::uint64_t aTokens,
+                      SendOutcome aOutcome,
+                      core::MonotonicTime aNow)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end()) {
+    return;
+  }
+  Server& server = found->second;
+  Use& use = server.use_;
+  use.inFlight_ -= std::min<std::uint32_t>(use.inFlight_, 1);
+  use.tokens_ -= std::min(use.tokens_, aTokens);
+  if (aOutcome == SendOutcome::Served) {
+    ++use.successes_;
+    server.failuresInRow_ = 0;
+    server.outUntil_.reset();
+    server.outFor_ = core::Duration(0);
+    return;
+  }
+  if (aOutcome != SendOutcome::Failed && aOutcome != SendOutcome::Unreachable) {
+    return;
+  }
+  ++(aOutcome == SendOutcome::Failed ? use.failures_ : use.unreachable_);
+  ++server.failuresInRow_;
+  // A connection that can't be made says more than one failed answer.
+  if (aOutcome == SendOutcome::Unreachable ||
+      server.failuresInRow_ >= kFailuresToLeaveOut) {
+    server.outFor_ = std::clamp<core::Duration>(
+      server.outFor_ * 2, kFirstOut, kLongestOut);
+    server.outUntil_ = aNow + server.outFor_;
+  }
+}
+
+void
+BackendView::OnLatency(const core::ServerId& aServer, core::Duration aTime)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end()) {
+    return;
+  }
+  const double ms = std::chrono::duration<double, std::milli>(aTime).count();
+  double& mean = found->second.latencyMs_;
+  mean = mean == 0 ? ms : mean + kLatencyWeight * (ms - mean);
+}
+
+void
+BackendView::OnMissing(const core::ServerId& aServer,
+                       const core::ModelName& aModel)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end()) {
+    found->second.row_.models_.erase(aModel);
+    found->second.use_.missing_.push_back(aModel);
+  }
+}
+
+bool
+BackendView::HasModel(const ServiceName& aService,
+                      const core::ModelName& aModel) const
+{
+  return std::ranges::any_of(servers_, [&](const auto& aEntry) {
+    const BackendRow& row = aEntry.second.row_;
+    return row.service_ == aService && row.state_ == BackendState::Ready &&
+           row.models_.contains(aModel);
+  });
+}
+
+std::uint32_t
+BackendView::FreePlaces(const BackendNeed& aNeed, core::MonotonicTime aNow) const
+{
+  std::uint32_t free = 0;
+  for (const auto& [id, server] : servers_) {
+    const BackendRow& row = server.row_;
+    if (row.service_ == aNeed.service_ && row.state_ == BackendState::Ready &&
+        !Out(server, aNow)) {
+      const std::uint32_t used = row.othersInFlight_ + server.use_.inFlight_;
+      free += row.slots_ - std::min(row.slots_, used);
+    }
+  }
+  return free;
+}
+
+std::map<core::ServerId, BackendView::Use>
+BackendView::TakeUses()
+{
+  std::map<core::ServerId, Use> uses;
+  for (auto& [id, server] : servers_) {
+    Use& use = server.use_;
+    const bool idle = use.inFlight_ == 0 && use.failures_ == 0 &&
+                      use.successes_ == 0 && use.unreachable_ == 0 &&
+                      use.missing_.empty();
+    if (!idle) {
+      uses[id] = use;
+    }
+    use.failures_ = 0;
+    use.successes_ = 0;
+    use.unreachable_ = 0;
+    use.missing_.clear();
+  }
+  return uses;
+}
+
+const BackendRow*
+BackendView::Find(const core::ServerId& aServer) const
+{
+  const auto found = servers_.find(aServer);
+  return found == servers_.end() ? nullptr : &found->second.row_;
+}
+
+} // namespace crocusslip::coordination
--- /dev/null
+++ b/coordination/FleetTable.cpp
@@ -0,0 +1,266 @@
+#include "coordination/FleetTable.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace crocusslip::coordination {
+
+namespace {
+
+/// A host that has not reported for this long no longer counts.
+constexpr std::chrono::milliseconds kHostSilence{ 2500 };
+/// Rows of servers that are gone are kept for hosts that are behind.
+constexpr std::chrono::seconds kKeepGone{ 20 };
+/// Change of load that hosts are told.
+constexpr std::uint32_t kLoadStep = 2;
+constexpr double kLoadShare = 0.15;
+/// Half-life of reported failures and successes.
+constexpr double kEvidenceHalfLifeS = 3;
+/// Share of failed answers from which a server is suspect.
+constexpr double kSuspectShare = 0.2;
+constexpr double kSuspectFailures = 2;
+
+bool
+Differs(double aOld, double aNew, double aStep)
+{
+  return std::abs(aOld - aNew) > std::max(aStep, kLoadShare * aOld);
+}
+
+} // namespace
+
+void
+FleetTable::Touch(Row& aRow)
+{
+  aRow.change_ = ++change_;
+}
+
+void
+FleetTable::TouchUrgently(Row& aRow)
+{
+  Touch(aRow);
+  ++urgentChange_;
+}
+
+void
+FleetTable::OnList(const std::vector<ListedServer>& aList,
+                   core::MonotonicTime aNow)
+{
+  std::set<core::ServerId> seen;
+  for (const ListedServer& listed : aList) {
+    seen.insert(listed.server_);
+    const auto [entry, isNew] = rows_.try_emplace(listed.server_);
+    Row& row = entry->second;
+    const bool changed = isNew || row.row_.address_ != listed.address_ ||
+                         row.row_.state_ != listed.state_ ||
+                         row.row_.slots_ != listed.slots_ ||
+                         row.row_.service_ != listed.service_;
+    if (!changed) {
+      continue;
+    }
+    row.row_.server_ = listed.server_;
+    row.row_.address_ = listed.address_;
+    row.row_.service_ = listed.service_;
+    row.row_.failureDomain_ = listed.failureDomain_;
+    row.row_.state_ = listed.state_;
+    row.row_.slots_ = listed.slots_;
+    goneSince_.erase(listed.server_);
+    TouchUrgently(row);
+  }
+  for (auto& [id, row] : rows_) {
+    if (!seen.contains(id) && row.row_.state_ != BackendState::Gone) {
+      row.row_.state_ = BackendState::Gone;
+      goneSince_[id] = aNow;
+      TouchUrgently(row);
+    }
+  }
+  std::erase_if(goneSince_, [&](const auto& aEntry) {
+    const bool old = aNow - aEntry.second > kKeepGone;
+    if (old) {
+      rows_.erase(aEntry.first);
+      evidence_.erase(aEntry.first);
+    }
+    return old;
+  });
+}
+
+void
+FleetTable::OnUses(const core::HostId& aHost,
+                   const std::map<core::ServerId, HostUse>& aUses,
+                   core::MonotonicTime aNow)
+{
+  Host& host = hosts_[aHost];
+  host.lastReport_ = aNow;
+  host.uses_ = aUses;
+  for (const auto& [server, use] : aUses) {
+    if (use.failures_ == 0 && use.successes_ == 0) {
+      continue;
+    }
+    Evidence& evidence = evidence_[server];
+    const double elapsed =
+      std::chrono::duration<double>(aNow - evidence.at_).count();
+    const double kept = std::exp2(-elapsed / kEvidenceHalfLifeS);
+    evidence.failures_ = evidence.failures_ * kept + use.failures_;
+    evidence.successes_ = evidence.successes_ * kept + use.successes_;
+    evidence.at_ = aNow;
+    if (use.failures_ > 0) {
+      evidence.failedFor_.insert(aHost);
+    } else {
+      evidence.failedFor_.erase(aHost);
+    }
+  }
+  Recount(aNow);
+}
+
+void
+FleetTable::OnDemand(const core::HostId& aHost,
+                     const std::map<core::ModelName, ModelDemand>& aDemand,
+                     core::MonotonicTime aNow)
+{
+  Host& host = hosts_[aHost];
+  host.lastReport_ = aNow;
+  std::map<core::ModelName, ModelDemand> demand = aDemand;
+  // Arrivals that nobody has taken yet are kept.
+  for (const auto& [model, before] : host.demand_) {
+    if (before.arrivals_ > 0) {
+      demand[model].arrivals_ += before.arrivals_;
+    }
+  }
+  host.demand_ = std::move(demand);
+}
+
+void
+FleetTable::Expire(core::MonotonicTime aNow)
+{
+  const auto erased = std::erase_if(hosts_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.lastReport_ > kHostSilence;
+  });
+  if (erased > 0) {
+    Recount(aNow);
+  }
+}
+
+void
+FleetTable::Recount(core::MonotonicTime aNow)
+{
+  for (auto& [id, row] : rows_) {
+    std::uint32_t inFlight = 0;
+    std::uint64_t tokens = 0;
+    for (const auto& [name, host] : hosts_) {
+      const auto use = host.uses_.find(id);
+      if (use != host.uses_.end()) {
+        inFlight += use->second.inFlight_;
+        tokens += use->second.tokens_;
+      }
+    }
+    bool suspect = false;
+    const auto evidence = evidence_.find(id);
+    if (evidence != evidence_.end()) {
+      const Evidence& seen = evidence->second;
+      const double age =
+        std::chrono::duration<double>(aNow - seen.at_).count();
+      const double failures =
+        seen.failures_ * std::exp2(-age / kEvidenceHalfLifeS);
+      // One host's trouble may be its own.
+      suspect = seen.failedFor_.size() > 1 && failures >= kSuspectFailures &&
+                seen.failures_ >
+                  kSuspectShare * (seen.failures_ + seen.successes_);
+    }
+    const double tokenStep =
+      std::max<double>(1, static_cast<double>(row.row_.memoryTokens_) / 50);
+    if (Differs(row.inFlight_, inFlight, kLoadStep) ||
+        Differs(static_cast<double>(row.tokens_),
+                static_cast<double>(tokens),
+                tokenStep) ||
+        suspect != row.row_.suspect_) {
+      row.inFlight_ = inFlight;
+      row.tokens_ = tokens;
+      row.row_.suspect_ = suspect;
+      Touch(row);
+    }
+  }
+}
+
+void
+FleetTable::SetModels(const core::ServerId& aServer,
+                      const std::set<core::ModelName>& aModels)
+{
+  const auto found = rows_.find(aServer);
+  if (found != rows_.end() && found->second.row_.models_ != aModels) {
+    found->second.row_.models_ = aModels;
+    TouchUrgently(found->second);
+  }
+}
+
+void
+FleetTable::SetMemory(const core::ServerId& aServer, std::uint64_t aTokens)
+{
+  const auto found = rows_.find(aServer);
+  if (found != rows_.end() && found->second.row_.memoryTokens_ != aTokens) {
+    found->second.row_.memoryTokens_ = aTokens;
+    TouchUrgently(found->second);
+  }
+}
+
+std::vector<BackendRow>
+FleetTable::RowsFor(const core::HostId& aHost, std::uint64_t aSeen) const
+{
+  const auto host = hosts_.find(aHost);
+  std::vector<BackendRow> rows;
+  for (const auto& [id, row] : rows_) {
+    if (row.change_ <= aSeen) {
+      continue;
+    }
+    BackendRow out = row.row_;
+    std::uint32_t inFlight = row.inFlight_;
+    std::uint64_t tokens = row.tokens_;
+    if (host != hosts_.end()) {
+      const auto own = host->second.uses_.find(id);
+      if (own != host->second.uses_.end()) {
+        inFlight -= std::min(inFlight, own->second.inFlight_);
+        tokens -= std::min(tokens, own->second.tokens_);
+      }
+    }
+    out.othersInFlight_ = inFlight;
+    out.othersTokens_ = tokens;
+    rows.push_back(std::move(out));
+  }
+  return rows;
+}
+
+std::map<core::ModelName, ModelDemand>
+FleetTable::TakeDemand()
+{
+  std::map<core::ModelName, ModelDemand> total;
+  for (auto& [name, host] : hosts_) {
+    for (auto& [model, demand] : host.demand_) {
+      ModelDemand& sum = total[model];
+      sum.waiting_ += demand.waiting_;
+      sum.inFlight_ += demand.inFlight_;
+      sum.arrivals_ += std::exchange(demand.arrivals_, 0);
+      sum.weight_ += demand.weight_;
+    }
+  }
+  return total;
+}
+
+std::set<core::ModelName>
+FleetTable::ActiveAt(const core::ServerId& aServer) const
+{
+  std::set<core::ModelName> active;
+  for (const auto& [name, host] : hosts_) {
+    const auto use = host.uses_.find(aServer);
+    if (use != host.uses_.end()) {
+      active.insert(use->second.active_.begin(), use->second.active_.end());
+    }
+  }
+  return active;
+}
+
+std::uint32_t
+FleetTable::Hosts() const
+{
+  return static_cast<std::uint32_t>(hosts_.size());
+}
+
+} // namespace crocusslip::coordination
--- /dev/null
+++ b/coordination/FleetTable.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "coordination/BackendView.hpp"
+#include "coordination/ModelPlacement.hpp"
+#include "core/Clock.hpp"
+#include "core/Ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocusslip::coordination {
+
+/// An entry of the platform's list of backend servers.
+struct ListedServer
+{
+  core::ServerId server_;
+  std::string address_;
+  ServiceName service_;
+  core::FailureDomainId failureDomain_;
+  BackendState state_ = BackendState::Ready;
+  std::uint32_t slots_ = 0;
+  EngineContent content_;
+};
+
+/// What one host does with one server, and met there since its last report.
+struct HostUse
+{
+  std::uint32_t inFlight_ = 0;
+  std::uint64_t tokens_ = 0;
+  std::uint32_t failures_ = 0;
+  std::uint32_t successes_ = 0;
+  std::set<core::ModelName> active_;
+};
+
+/// What the leader of the control group knows about backend servers, merged
+/// from the platform's list and the reports of all hosts. Rows carry numbers of
+/// change, so that a host is sent only what it has not seen.
+class FleetTable
+{
+public:
+  struct Row
+  {
+    BackendRow row_;
+    std::uint64_t change_ = 0;
+    /// Requests and tokens of all hosts as of the last change.
+    std::uint32_t inFlight_ = 0;
+    std::uint64_t tokens_ = 0;
+  };
+
+  /// Replaces the list. Servers that are no longer listed are gone.
+  void OnList(const std::vector<ListedServer>& aList, core::MonotonicTime aNow);
+  void OnUses(const core::HostId& aHost,
+              const std::map<core::ServerId, HostUse>& aUses,
+              core::MonotonicTime aNow);
+  void OnDemand(const core::HostId& aHost,
+                const std::map<core::ModelName, ModelDemand>& aDemand,
+                core::MonotonicTime aNow);
+  /// Forgets hosts that have been silent.
+  void Expire(core::MonotonicTime aNow);
+  void SetModels(const core::ServerId& aServer,
+                 const std::set<core::ModelName>& aModels);
+  void SetMemory(const core::ServerId& aServer, std::uint64_t aTokens);
+
+  std::uint64_t Change() const { return change_; }
+  /// Grows with changes that hosts must hear of at once: all but loads.
+  std::uint64_t UrgentChange() const { return urgentChange_; }
+  /// Rows that changed after aSeen, as that host is to see them.
+  std::vector<BackendRow> RowsFor(const core::HostId& aHost,
+                                  std::uint64_t aSeen) const;
+  /// Demand of all hosts; arrivals since the last call.
+  std::map<core::ModelName, ModelDemand> TakeDemand();
+  std::set<core::ModelName> ActiveAt(const core::ServerId& aServer) const;
+  std::uint32_t Hosts() const;
+  const std::map<core::ServerId, Row>& Rows() const { return rows_; }
+
+private:
+  struct Host
+  {
+    core::MonotonicTime lastReport_;
+    std::map<core::ServerId, HostUse> uses_;
+    std::map<core::ModelName, ModelDemand> demand_;
+  };
+  struct Evidence
+  {
+    double failures_ = 0;
+    double successes_ = 0;
+    std::set<core::HostId> failedFor_;
+    core::MonotonicTime at_;
+  };
+
+  void Touch(Row& aRow);
+  void TouchUrgently(Row& aRow);
+  void Recount(core::MonotonicTime aNow);
+
+  std::map<core::ServerId, Row> rows_;
+  /// Servers that are gone stay listed as such for a while.
+  std::map<core::ServerId, core::MonotonicTime> goneSince_;
+  std::map<core::HostId, Host> hosts_;
+  std::map<core::ServerId, Evidence> evidence_;
+  std::uint64_t change_ = 1;
+  std::uint64_t urgentChange_ = 1;
+};
+
+} // namespace crocusslip::coordination
--- /dev/null
+++ b/coordination/PlaceQueue.cpp
@@ -0,0 +1,59 @@
+#include "coordination/PlaceQueue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusslip::coordination {
+
+PlaceQueue::Id
+PlaceQueue::Add(PlaceRequest aRequest)
+{
+  const Id id = nextId_++;
+  waiting_.emplace(id, std::move(aRequest));
+  return id;
+}
+
+void
+PlaceQueue::Remove(Id aId)
+{
+  waiting_.erase(aId);
+}
+
+std::vector<PlaceQueue::Grant>
+PlaceQueue::Assign(BackendView& aView,
+                   core::MonotonicTime aNow,
+                   core::Random& aRandom)
+{
+  std::vector<std::pair<Id, const PlaceRequest*>> order;
+  order.reserve(waiting_.size());
+  for (const auto& [id, request] : waiting_) {
+    order.emplace_back(id, &request);
+  }
+  std::ranges::stable_sort(order, {}, [](const auto& aEntry) {
+    return std::pair(aEntry.second->priority_, aEntry.second->since_);
+  });
+  std::vector<Grant> grants;
+  for (const auto& [id, request] : order) {
+    const Choice choice = aView.Choose(request->need_, aNow, aRandom);
+    if (choice.fit_ == Fit::Found) {
+      aView.OnStart(choice.server_, request->need_.tokens_);
+      grants.push_back({ id, choice });
+    }
+  }
+  for (const Grant& grant : grants) {
+    waiting_.erase(grant.id_);
+  }
+  return grants;
+}
+
+std::size_t
+PlaceQueue::Ahead(const ServiceName& aService, std::uint32_t aPriority) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(waiting_, [&](const auto& aEntry) {
+      return aEntry.second.need_.service_ == aService &&
+             aEntry.second.priority_ <= aPriority;
+    }));
+}
+
+} // namespace crocusslip::coordination
--- /dev/null
+++ b/coordination/RouteTable.cpp
@@ -0,0 +1,85 @@
+#include "coordination/RouteTable.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace crocusslip::coordination {
+
+namespace {
+
+std::string
+LowerHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::ranges::transform(host, host.begin(), [](unsigned char aLetter) {
+    return static_cast<char>(std::tolower(aLetter));
+  });
+  return host;
+}
+
+} // namespace
+
+bool
+Route::Repeatable() const
+{
+  return kind_ == RequestKind::Idempotent ||
+         (kind_ == RequestKind::Stream && resumable_);
+}
+
+const ServiceName&
+Route::Pick(std::uint64_t aHash) const
+{
+  std::uint64_t total = 0;
+  for (const WeightedService& part : services_) {
+    total += part.weight_;
+  }
+  std::uint64_t point = total == 0 ? 0 : aHash % total;
+  for (const WeightedService& part : services_) {
+    if (point < part.weight_) {
+      return part.service_;
+    }
+    point -= part.weight_;
+  }
+  return services_.front().service_;
+}
+
+RouteTable::RouteTable(std::uint64_t aVersion,
+                       std::vector<Route> aRoutes,
+                       std::map<ServiceName, Service> aServices,
+                       CallerLimits aLimits)
+  : version_(aVersion)
+  , routes_(std::move(aRoutes))
+  , services_(std::move(aServices))
+  , limits_(aLimits)
+{
+  for (std::size_t i = 0; i < routes_.size(); ++i) {
+    byPlace_[LowerHost(routes_[i].host_) + routes_[i].prefix_] = i;
+  }
+}
+
+const Route*
+RouteTable::Match(std::string_view aHost, std::string_view aTarget) const
+{
+  const std::string_view path = aTarget.substr(0, aTarget.find_first_of("?#"));
+  const std::string host = LowerHost(aHost);
+  for (auto slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos
+                          : path.rfind('/', slash - 1)) {
+    const auto found =
+      byPlace_.find(host + std::string(path.substr(0, slash + 1)));
+    if (found != byPlace_.end()) {
+      return &routes_[found->second];
+    }
+  }
+  return nullptr;
+}
+
+const Service*
+RouteTable::FindService(const ServiceName& aName) const
+{
+  const auto found = services_.find(aName);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+} // namespace crocusslip::coordination
--- a/core/Clock.cpp
+++ b/core/Clock.cpp
@@ -1,11 +1,20 @@
 #include "core/Clock.hpp"
 
+#include <ctime>
+
 namespace crocusslip::core {
 
 MonotonicTime
 SystemClock::Now() const
 {
-  return std::chrono::steady_clock::now();
+  // CLOCK_MONOTONIC stands still while the machine is suspended, so that a
+  // lease measured with it would outlive its end.
+  timespec now{};
+  if (clock_gettime(CLOCK_BOOTTIME, &now) != 0) {
+    return std::chrono::steady_clock::now();
+  }
+  return MonotonicTime(std::chrono::seconds(now.tv_sec) +
+                       std::chrono::nanoseconds(now.tv_nsec));
 }
 
 WallTime
--- /dev/null
+++ b/entry/Gateway.cpp
@@ -0,0 +1,475 @@
+#include "entry/Gateway.hpp"
+
+#include "core/Log.hpp"
+#include "core/Reasons.hpp"
+#include "entry/GatewayCall.hpp"
+
+#include <algorithm>
+#include <array>
+#include <unistd.h>
+#include <utility>
+
+namespace crocusslip::entry {
+
+namespace {
+
+using transport::HttpRequest;
+using transport::ReadResult;
+using transport::Task;
+namespace http = transport::http;
+
+constexpr std::chrono::milliseconds kHousekeeping{ 500 };
+/// From SIGTERM until new connections are refused: the balancer needs two
+/// questions, a second apart, to stop sending them.
+constexpr std::chrono::milliseconds kAcceptAfterTerm{ 3000 };
+/// Time kept before the platform's SIGKILL.
+constexpr std::chrono::milliseconds kBeforeKill{ 700 };
+constexpr std::chrono::milliseconds kDrainStep{ 50 };
+
+constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
+  "no_routes_yet", "no_route",       "no_server",   "no_model",
+  "full",          "deadline_over",  "quarantined", "not_run_elsewhere",
+  "broken",        "malformed",
+};
+
+} // namespace
+
+const char*
+NameOf(GatewayRefusal aReason)
+{
+  return kRefusalNames.at(static_cast<std::size_t>(aReason));
+}
+
+struct Gateway::Counters
+{
+  explicit Counters(core::MetricsRegistry& aMetrics)
+    : requests_(aMetrics.AddCounter("crocusslip_requests_total",
+                                    "",
+                                    "Requests of callers."))
+  {
+    for (std::size_t i = 0; i < kGatewayRefusals; ++i) {
+      refusals_.at(i) = &aMetrics.AddCounter(
+        "crocusslip_refusals_total",
+        std::string("reason=\"") + kRefusalNames.at(i) + "\"",
+        "Requests that the gateway answered itself.");
+    }
+  }
+
+  core::Counter& requests_;
+  std::array<core::Counter*, kGatewayRefusals> refusals_{};
+};
+
+Gateway::Gateway(transport::asio::io_context& aLoop,
+                 GatewaySettings aSettings,
+                 const core::Clock& aClock)
+  : loop_(aLoop)
+  , settings_(std::move(aSettings))
+  , clock_(aClock)
+  , random_(core::DeviceSeed())
+  , instance_(static_cast<std::int64_t>(random_.Next() >> 2U))
+  , counters_(std::make_unique<Counters>(metrics_))
+  , view_(settings_.failureDomain_)
+  , fleet_(
+      aLoop,
+      [this] { return Report(); },
+      [this](const wire::SyncReply& aReply) { Learn(aReply); })
+{
+}
+
+Gateway::~Gateway() = default;
+
+core::Status
+Gateway::Start()
+{
+  callers_ = std::make_unique<transport::LinkListener>(
+    loop_, settings_.callers_, [this](transport::Tcp::socket aSocket) {
+      auto link = std::make_shared<transport::CallerLink>(std::move(aSocket),
+                                                          Limits());
+      links_.insert(link);
+      transport::Spawn(loop_, [this, link] { return ServeCaller(link); });
+    });
+  readiness_ = std::make_unique<transport::LinkListener>(
+    loop_, settings_.readiness_, [this](transport::Tcp::socket aSocket) {
+      auto link = std::make_shared<transport::CallerLink>(std::move(aSocket),
+                                                          Limits());
+      transport::Spawn(loop_, [this, link] { return ServeReadiness(link); });
+    });
+  core::Status started = callers_->Start();
+  if (started.Ok()) {
+    started = readiness_->Start();
+  }
+  if (!started.Ok()) {
+    return started;
+  }
+  fleet_.SetSeeds(settings_.seeds_);
+  fleet_.Start();
+  transport::Spawn(loop_, [this] { return Housekeeping(); });
+  core::Log(core::LogLevel::Info,
+            "gateway started",
+            { { "callers", settings_.callers_ },
+              { "seeds", std::to_string(settings_.seeds_.size()) } });
+  return started;
+}
+
+bool
+Gateway::Ready() const
+{
+  return routes_ != nullptr && learnedRows_ && !draining_;
+}
+
+transport::LinkLimits
+Gateway::Limits() const
+{
+  transport::LinkLimits limits;
+  if (routes_) {
+    const coordination::CallerLimits& set = routes_->Limits();
+    limits.headerBytes_ = set.headerBytes_;
+    limits.bodyBytes_ = set.bodyBytes_;
+    limits.headerTime_ = set.headerTime_;
+    limits.idleTime_ = set.idleTime_;
+  }
+  return limits;
+}
+
+Task<bool>
+Gateway::RefuseUnread(transport::CallerLink& aLink, ReadResult aResult)
+{
+  unsigned status = 0;
+  switch (aResult) {
+    case ReadResult::Complete:
+    case ReadResult::Closed:
+    case ReadResult::Broken:
+      co_return false;
+    case ReadResult::HeaderTimeout:
+      status = 408;
+      break;
+    case ReadResult::HeaderTooLarge:
+      status = 431;
+      break;
+    case ReadResult::BodyTooLarge:
+      status = 413;
+      break;
+    case ReadResult::Malformed:
+      status = 400;
+      break;
+  }
+  CountRefusal(GatewayRefusal::Malformed);
+  core::Log(core::LogLevel::Info,
+            "request not read",
+            { { "status", std::to_string(status) } });
+  http::response<http::string_body> answer;
+  answer.version(11);
+  answer.result(status);
+  answer.keep_alive(false);
+  answer.prepare_payload();
+  co_return co_await aLink.Write(answer);
+}
+
+Task<void>
+Gateway::ServeCaller(LinkPtr aLink)
+{
+  bool keep = true;
+  while (keep) {
+    HttpRequest request;
+    aLink->SetBusy(false);
+    const ReadResult read = co_await aLink->Read(request, Limits());
+    if (read != ReadResult::Complete) {
+      co_await RefuseUnread(*aLink, read);
+      break;
+    }
+    counters_->requests_.Add();
+    const bool wantsKeep = request.keep_alive();
+    ++calls_;
+    auto call =
+      std::make_shared<GatewayCall>(*this, aLink, std::move(request));
+    keep = co_await call->Run() && wantsKeep && !draining_;
+    --calls_;
+  }
+  aLink->SetBusy(true);
+  co_await aLink->Finish();
+  links_.erase(aLink);
+}
+
+Task<void>
+Gateway::ServeReadiness(LinkPtr aLink)
+{
+  bool keep = true;
+  while (keep) {
+    HttpRequest request;
+    if (co_await aLink->Read(request, {}) != ReadResult::Complete) {
+      break;
+    }
+    http::response<http::string_body> answer;
+    answer.version(11);
+    const auto target = request.target();
+    if (target == "/metrics") {
+      answer.result(200);
+      answer.body() = metrics_.Text();
+    } else {
+      answer.result(target != settings_.readinessPath_ ? 404U
+                    : Ready()                          ? 200U
+                                                       : 503U);
+    }
+    answer.keep_alive(request.keep_alive());
+    answer.prepare_payload();
+    keep = co_await aLink->Write(answer) && request.keep_alive();
+  }
+  co_await aLink->Finish();
+}
+
+Task<void>
+Gateway::Housekeeping()
+{
+  transport::asio::steady_timer timer(loop_);
+  while (true) {
+    co_await transport::Sleep(timer, kHousekeeping);
+    pool_.Trim();
+    AssignPlaces();
+    std::erase_if(models_, [](const auto& aEntry) {
+      return aEntry.second.inFlight_ == 0 && aEntry.second.arrivals_ == 0;
+    });
+    std::erase_if(active_,
+                  [](const auto& aEntry) { return aEntry.second.empty(); });
+  }
+}
+
+void
+Gateway::Drain()
+{
+  if (std::exchange(draining_, true)) {
+    return;
+  }
+  core::Log(core::LogLevel::Info,
+            "draining",
+            { { "calls", std::to_string(calls_) } });
+  transport::Spawn(loop_, [this] { return EndAfterGrace(); });
+}
+
+Task<void>
+Gateway::EndAfterGrace()
+{
+  transport::asio::steady_timer timer(loop_);
+  const core::MonotonicTime begin = clock_.Now();
+  co_await transport::Sleep(timer, kAcceptAfterTerm);
+  callers_->Stop();
+  for (const LinkPtr& link : links_) {
+    link->EndIdle();
+  }
+  while (calls_ > 0 &&
+         clock_.Now() < begin + settings_.grace_ - kBeforeKill) {
+    co_await transport::Sleep(timer, kDrainStep);
+  }
+  core::Log(core::LogLevel::Info,
+            "gateway stopped",
+            { { "cut", std::to_string(calls_) } });
+  fleet_.Stop();
+  loop_.stop();
+}
+
+void
+Gateway::Reload(const GatewaySettings& aSettings)
+{
+  settings_.seeds_ = aSettings.seeds_;
+  settings_.retries_ = aSettings.retries_;
+  settings_.grace_ = aSettings.grace_;
+  fleet_.SetSeeds(settings_.seeds_);
+  for (auto& [service, budget] : budgets_) {
+    budget.SetBound(settings_.retries_);
+  }
+  core::Log(core::LogLevel::Info,
+            "settings read again",
+            { { "seeds", std::to_string(settings_.seeds_.size()) } });
+}
+
+coordination::SharedRetryBudget&
+Gateway::BudgetOf(const coordination::ServiceName& aService)
+{
+  const auto found = budgets_.find(aService);
+  if (found != budgets_.end()) {
+    return found->second;
+  }
+  auto& budget =
+    budgets_
+      .emplace(aService, coordination::SharedRetryBudget(settings_.retries_))
+      .first->second;
+  if (hosts_ > 0) {
+    budget.SetHosts(hosts_);
+  }
+  return budget;
+}
+
+void
+Gateway::CountRefusal(GatewayRefusal aReason)
+{
+  counters_->refusals_.at(static_cast<std::size_t>(aReason))->Add();
+}
+
+void
+Gateway::AssignPlaces()
+{
+  if (queue_.Size() == 0) {
+    return;
+  }
+  for (const auto& grant : queue_.Assign(view_, clock_.Now(), random_)) {
+    const auto found = waiting_.find(grant.id_);
+    if (found == waiting_.end()) {
+      continue;
+    }
+    GatewayCall* call = found->second;
+    waiting_.erase(found);
+    call->Grant(grant.choice_);
+  }
+}
+
+wire::SyncRequest
+Gateway::Report()
+{
+  wire::SyncRequest request;
+  request.host = settings_.host_.Value();
+  request.failureDomain = settings_.failureDomain_.Value();
+  request.instance = instance_;
+  request.epoch = epoch_;
+  request.seen = seen_;
+  request.routesVersion =
+    routes_ ? static_cast<std::int64_t>(routes_->Version()) : 0;
+  for (const auto& [id, use] : view_.TakeUses()) {
+    wire::ServerUse out;
+    out.server = id.Value();
+    out.inFlight = static_cast<std::int32_t>(use.inFlight_);
+    out.tokens = static_cast<std::int64_t>(use.tokens_);
+    out.failures = static_cast<std::int32_t>(use.failures_);
+    out.successes = static_cast<std::int32_t>(use.successes_);
+    out.unreachable = static_cast<std::int32_t>(use.unreachable_);
+    for (const core::ModelName& model : use.missing_) {
+      out.missing.push_back(model.Value());
+    }
+    const auto active = active_.find(id);
+    if (active != active_.end()) {
+      std::set<core::ModelName> models(active->second.begin(),
+                                       active->second.end());
+      for (const core::ModelName& model : models) {
+        out.active.push_back(model.Value());
+      }
+    }
+    request.uses.push_back(std::move(out));
+  }
+  std::map<core::ModelName, wire::ModelUse> models;
+  for (auto& [name, use] : models_) {
+    if (use.inFlight_ > 0 || use.arrivals_ > 0) {
+      wire::ModelUse& out = models[name];
+      out.inFlight = static_cast<std::int32_t>(use.inFlight_);
+      out.arrivals = static_cast<std::int32_t>(std::exchange(use.arrivals_, 0));
+    }
+  }
+  for (const auto& [id, waiting] : queue_.All()) {
+    if (waiting.need_.model_.Empty()) {
+      continue;
+    }
+    wire::ModelUse& out = models[waiting.need_.model_];
+    ++out.waiting;
+    out.tokens += static_cast<std::int64_t>(waiting.need_.tokens_);
+    out.worth += 1.0 / (1.0 + waiting.priority_);
+  }
+  for (auto& [name, use] : models) {
+    use.model = name.Value();
+    request.models.push_back(std::move(use));
+  }
+  request.crashes = std::exchange(crashes_, {});
+  return request;
+}
+
+void
+Gateway::Learn(const wire::SyncReply& aReply)
+{
+  LearnRoutes(aReply);
+  LearnRows(aReply);
+  if (aReply.hosts > 0 &&
+      hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
+    hosts_ = static_cast<std::uint32_t>(aReply.hosts);
+    for (auto& [service, budget] : budgets_) {
+      budget.SetHosts(hosts_);
+    }
+  }
+  quarantine_ =
+    std::set<std::string>(aReply.quarantine.begin(), aReply.quarantine.end());
+  const core::MonotonicTime now = clock_.Now();
+  coming_.clear();
+  for (const wire::ComingModel& model : aReply.coming) {
+    coming_[core::ModelName(model.model)] =
+      now + std::chrono::milliseconds(model.readyInMs);
+  }
+  AssignPlaces();
+}
+
+void
+Gateway::LearnRoutes(const wire::SyncReply& aReply)
+{
+  const auto held = routes_ ? routes_->Version() : 0;
+  if (aReply.routes.empty() ||
+      static_cast<std::uint64_t>(aReply.routesVersion) <= held) {
+    return;
+  }
+  auto routes = settings_.readRoutes_(aReply.routes);
+  if (!routes.Ok()) {
+    core::Log(core::LogLevel::Error,
+              "table of routes not read",
+              { { "version", std::to_string(aReply.routesVersion) },
+                { "reason", routes.Failure().Message() } });
+    return;
+  }
+  routes_ = std::make_shared<const coordination::RouteTable>(
+    std::move(routes.Value()));
+  core::Log(core::LogLevel::Info,
+            "routes in force",
+            { { "version", std::to_string(routes_->Version()) },
+              { "routes", std::to_string(routes_->Routes().size()) } });
+}
+
+void
+Gateway::LearnRows(const wire::SyncReply& aReply)
+{
+  if (aReply.complete) {
+    std::set<core::ServerId> named;
+    for (const wire::ServerRow& row : aReply.rows) {
+      named.insert(core::ServerId(row.server));
+    }
+    for (const core::ServerId& id : view_.Ids()) {
+      if (!named.contains(id)) {
+        view_.Remove(id);
+        pool_.Drop(id);
+      }
+    }
+  }
+  epoch_ = aReply.epoch;
+  seen_ = aReply.seen;
+  for (const wire::ServerRow& row : aReply.rows) {
+    coordination::BackendRow out;
+    out.server_ = core::ServerId(row.server);
+    out.address_ = row.address;
+    out.service_ = coordination::ServiceName(row.serviceName);
+    out.failureDomain_ = core::FailureDomainId(row.failureDomain);
+    out.state_ = row.state == 0   ? coordination::BackendState::Ready
+                 : row.state == 1 ? coordination::BackendState::Leaving
+                                  : coordination::BackendState::Gone;
+    out.slots_ = static_cast<std::uint32_t>(std::max(0, row.slots));
+    out.memoryTokens_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.memoryTokens));
+    for (const std::string& model : row.models) {
+      out.models_.insert(core::ModelName(model));
+    }
+    out.othersInFlight_ =
+      static_cast<std::uint32_t>(std::max(0, row.inFlight));
+    out.othersTokens_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.tokens));
+    out.suspect_ = row.suspect;
+    if (out.state_ == coordination::BackendState::Gone) {
+      pool_.Drop(out.server_);
+      view_.Remove(out.server_);
+      continue;
+    }
+    view_.Update(std::move(out));
+  }
+  learnedRows_ = learnedRows_ || view_.Size() > 0;
+}
+
+} // namespace crocusslip::entry
--- /dev/null
+++ b/entry/GatewaySettings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "coordination/RouteTable.hpp"
+#include "coordination/SharedRetryBudget.hpp"
+#include "core/Error.hpp"
+#include "core/Ids.hpp"
+#include "protocol/CallHeaders.hpp"
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace crocusslip::entry {
+
+/// Reads a published table of routes.
+using ReadRoutes =
+  std::function<core::Result<coordination::RouteTable>(const std::string&)>;
+
+struct GatewaySettings
+{
+  core::HostId host_;
+  core::FailureDomainId failureDomain_;
+  /// Addresses "HOST:PORT" for callers, for the load balancer's question
+  /// whether this host is ready, and for metrics (empty: none).
+  std::string callers_;
+  std::string readiness_;
+  std::string metrics_;
+  std::string readinessPath_ = "/readyz";
+  /// Control processes to ask first.
+  std::vector<std::string> seeds_;
+  coordination::RetryBound retries_;
+  /// From SIGTERM until the process is killed.
+  std::chrono::milliseconds grace_{ 8000 };
+  protocol::CallHeaders headers_;
+  ReadRoutes readRoutes_;
+};
+
+} // namespace crocusslip::entry
--- /dev/null
+++ b/entry/ServerPool.cpp
@@ -0,0 +1,78 @@
+#include "entry/ServerPool.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace crocusslip::entry {
+
+namespace {
+
+using Steady = std::chrono::steady_clock;
+
+/// Idle connections kept for one server.
+constexpr std::size_t kMostIdle = 8;
+/// Servers that do not say how long they keep a connection are trusted this
+/// long, the others for half of what they said.
+constexpr std::chrono::milliseconds kTrusted{ 2000 };
+
+bool
+Fresh(const transport::ServerLink& aLink)
+{
+  const auto limit =
+    aLink.serverIdle_.count() > 0
+      ? std::min<std::chrono::milliseconds>(aLink.serverIdle_ / 2, kTrusted * 2)
+      : kTrusted;
+  return Steady::now() - aLink.idleSince_ < limit;
+}
+
+} // namespace
+
+std::unique_ptr<transport::ServerLink>
+ServerPool::Take(const core::ServerId& aServer)
+{
+  const auto found = idle_.find(aServer);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  auto& links = found->second;
+  while (!links.empty()) {
+    auto link = std::move(links.back());
+    links.pop_back();
+    if (Fresh(*link) && link->Quiet()) {
+      return link;
+    }
+  }
+  return nullptr;
+}
+
+void
+ServerPool::Put(const core::ServerId& aServer,
+                std::unique_ptr<transport::ServerLink> aLink)
+{
+  aLink->idleSince_ = Steady::now();
+  auto& links = idle_[aServer];
+  links.push_back(std::move(aLink));
+  if (links.size() > kMostIdle) {
+    links.pop_front();
+  }
+}
+
+void
+ServerPool::Drop(const core::ServerId& aServer)
+{
+  idle_.erase(aServer);
+}
+
+void
+ServerPool::Trim()
+{
+  for (auto& [server, links] : idle_) {
+    while (!links.empty() && !Fresh(*links.front())) {
+      links.pop_front();
+    }
+  }
+  std::erase_if(idle_, [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+} // namespace crocusslip::entry
--- a/gen/commands_types.cpp
+++ b/gen/commands_types.cpp
@@ -2348,6 +2348,118 @@
 }
 
 
+PublishRoutes::~PublishRoutes() noexcept {
+}
+
+
+void PublishRoutes::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PublishRoutes::__set_document(const std::string& val) {
+  this->document = val;
+}
+std::ostream& operator<<(std::ostream& out, const PublishRoutes& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PublishRoutes::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PublishRoutes::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PublishRoutes");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PublishRoutes &a, PublishRoutes &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
+}
+
+PublishRoutes::PublishRoutes(const PublishRoutes& other38) {
+  version = other38.version;
+  document = other38.document;
+  __isset = other38.__isset;
+}
+PublishRoutes& PublishRoutes::operator=(const PublishRoutes& other39) {
+  version = other39.version;
+  document = other39.document;
+  __isset = other39.__isset;
+  return *this;
+}
+void PublishRoutes::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PublishRoutes(";
+  out << "version=" << to_string(version);
+  out << ", " << "document=" << to_string(document);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -2420,6 +2532,11 @@
   this->advanceTime = val;
 __isset.advanceTime = true;
 }
+
+void Command::__set_publishRoutes(const PublishRoutes& val) {
+  this->publishRoutes = val;
+__isset.publishRoutes = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -2560,6 +2677,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->publishRoutes.read(iprot);
+          this->__isset.publishRoutes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2646,6 +2771,11 @@
     xfer += this->advanceTime.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.publishRoutes) {
+    xfer += oprot->writeFieldBegin("publishRoutes", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->publishRoutes.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2667,42 +2797,45 @@
   swap(a.reportCrash, b.reportCrash);
   swap(a.releaseQuarantine, b.releaseQuarantine);
   swap(a.advanceTime, b.advanceTime);
+  swap(a.publishRoutes, b.publishRoutes);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other38) {
-  version = other38.version;
-  changeSettings = other38.changeSettings;
-  decideLoad = other38.decideLoad;
-  decideUnload = other38.decideUnload;
-  observeOrder = other38.observeOrder;
-  adoptReplica = other38.adoptReplica;
-  loseReplica = other38.loseReplica;
-  forgetServer = other38.forgetServer;
-  claim = other38.claim;
-  recordOutcome = other38.recordOutcome;
-  setDrain = other38.setDrain;
-  reportCrash = other38.reportCrash;
-  releaseQuarantine = other38.releaseQuarantine;
-  advanceTime = other38.advanceTime;
-  __isset = other38.__isset;
-}
-Command& Command::operator=(const Command& other39) {
-  version = other39.version;
-  changeSettings = other39.changeSettings;
-  decideLoad = other39.decideLoad;
-  decideUnload = other39.decideUnload;
-  observeOrder = other39.observeOrder;
-  adoptReplica = other39.adoptReplica;
-  loseReplica = other39.loseReplica;
-  forgetServer = other39.forgetServer;
-  claim = other39.claim;
-  recordOutcome = other39.recordOutcome;
-  setDrain = other39.setDrain;
-  reportCrash = other39.reportCrash;
-  releaseQuarantine = other39.releaseQuarantine;
-  advanceTime = other39.advanceTime;
-  __isset = other39.__isset;
+Command::Command(const Command& other40) {
+  version = other40.version;
+  changeSettings = other40.changeSettings;
+  decideLoad = other40.decideLoad;
+  decideUnload = other40.decideUnload;
+  observeOrder = other40.observeOrder;
+  adoptReplica = other40.adoptReplica;
+  loseReplica = other40.loseReplica;
+  forgetServer = other40.forgetServer;
+  claim = other40.claim;
+  recordOutcome = other40.recordOutcome;
+  setDrain = other40.setDrain;
+  reportCrash = other40.reportCrash;
+  releaseQuarantine = other40.releaseQuarantine;
+  advanceTime = other40.advanceTime;
+  publishRoutes = other40.publishRoutes;
+  __isset = other40.__isset;
+}
+Command& Command::operator=(const Command& other41) {
+  version = other41.version;
+  changeSettings = other41.changeSettings;
+  decideLoad = other41.decideLoad;
+  decideUnload = other41.decideUnload;
+  observeOrder = other41.observeOrder;
+  adoptReplica = other41.adoptReplica;
+  loseReplica = other41.loseReplica;
+  forgetServer = other41.forgetServer;
+  claim = other41.claim;
+  recordOutcome = other41.recordOutcome;
+  setDrain = other41.setDrain;
+  reportCrash = other41.reportCrash;
+  releaseQuarantine = other41.releaseQuarantine;
+  advanceTime = other41.advanceTime;
+  publishRoutes = other41.publishRoutes;
+  __isset = other41.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -2722,6 +2855,7 @@
   out << ", " << "reportCrash="; (__isset.reportCrash ? (out << to_string(reportCrash)) : (out << "<null>"));
   out << ", " << "releaseQuarantine="; (__isset.releaseQuarantine ? (out << to_string(releaseQuarantine)) : (out << "<null>"));
   out << ", " << "advanceTime="; (__isset.advanceTime ? (out << to_string(advanceTime)) : (out << "<null>"));
+  out << ", " << "publishRoutes="; (__isset.publishRoutes ? (out << to_string(publishRoutes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2821,14 +2955,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->winnerPaths.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->winnerPaths.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->winnerPaths.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += iprot->readString(this->winnerPaths[_i44]);
+              xfer += iprot->readString(this->winnerPaths[_i46]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2889,10 +3023,10 @@
   xfer += oprot->writeFieldBegin("winnerPaths", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->winnerPaths.size()));
-    std::vector<std::string> ::const_iterator _iter45;
-    for (_iter45 = this->winnerPaths.begin(); _iter45 != this->winnerPaths.end(); ++_iter45)
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->winnerPaths.begin(); _iter47 != this->winnerPaths.end(); ++_iter47)
     {
-      xfer += oprot->writeString((*_iter45));
+      xfer += oprot->writeString((*_iter47));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2923,25 +3057,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeAnswer::ChangeAnswer(const ChangeAnswer& other46) {
-  result = other46.result;
-  revision = other46.revision;
-  winner = other46.winner;
-  winnerRevision = other46.winnerRevision;
-  winnerPaths = other46.winnerPaths;
-  repeated = other46.repeated;
-  detail = other46.detail;
-  __isset = other46.__isset;
-}
-ChangeAnswer& ChangeAnswer::operator=(const ChangeAnswer& other47) {
-  result = other47.result;
-  revision = other47.revision;
-  winner = other47.winner;
-  winnerRevision = other47.winnerRevision;
-  winnerPaths = other47.winnerPaths;
-  repeated = other47.repeated;
-  detail = other47.detail;
-  __isset = other47.__isset;
+ChangeAnswer::ChangeAnswer(const ChangeAnswer& other48) {
+  result = other48.result;
+  revision = other48.revision;
+  winner = other48.winner;
+  winnerRevision = other48.winnerRevision;
+  winnerPaths = other48.winnerPaths;
+  repeated = other48.repeated;
+  detail = other48.detail;
+  __isset = other48.__isset;
+}
+ChangeAnswer& ChangeAnswer::operator=(const ChangeAnswer& other49) {
+  result = other49.result;
+  revision = other49.revision;
+  winner = other49.winner;
+  winnerRevision = other49.winnerRevision;
+  winnerPaths = other49.winnerPaths;
+  repeated = other49.repeated;
+  detail = other49.detail;
+  __isset = other49.__isset;
   return *this;
 }
 void ChangeAnswer::printTo(std::ostream& out) const {
@@ -3050,15 +3184,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DecisionAnswer::DecisionAnswer(const DecisionAnswer& other48) noexcept {
-  result = other48.result;
-  order = other48.order;
-  __isset = other48.__isset;
+DecisionAnswer::DecisionAnswer(const DecisionAnswer& other50) noexcept {
+  result = other50.result;
+  order = other50.order;
+  __isset = other50.__isset;
 }
-DecisionAnswer& DecisionAnswer::operator=(const DecisionAnswer& other49) noexcept {
-  result = other49.result;
-  order = other49.order;
-  __isset = other49.__isset;
+DecisionAnswer& DecisionAnswer::operator=(const DecisionAnswer& other51) noexcept {
+  result = other51.result;
+  order = other51.order;
+  __isset = other51.__isset;
   return *this;
 }
 void DecisionAnswer::printTo(std::ostream& out) const {
@@ -3145,13 +3279,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ObservationAnswer::ObservationAnswer(const ObservationAnswer& other50) noexcept {
-  result = other50.result;
-  __isset = other50.__isset;
+ObservationAnswer::ObservationAnswer(const ObservationAnswer& other52) noexcept {
+  result = other52.result;
+  __isset = other52.__isset;
 }
-ObservationAnswer& ObservationAnswer::operator=(const ObservationAnswer& other51) noexcept {
-  result = other51.result;
-  __isset = other51.__isset;
+ObservationAnswer& ObservationAnswer::operator=(const ObservationAnswer& other53) noexcept {
+  result = other53.result;
+  __isset = other53.__isset;
   return *this;
 }
 void ObservationAnswer::printTo(std::ostream& out) const {
@@ -3254,15 +3388,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other52) {
-  result = other52.result;
-  answer = other52.answer;
-  __isset = other52.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other54) {
+  result = other54.result;
+  answer = other54.answer;
+  __isset = other54.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other53) {
-  result = other53.result;
-  answer = other53.answer;
-  __isset = other53.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other55) {
+  result = other55.result;
+  answer = other55.answer;
+  __isset = other55.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -3349,13 +3483,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordAnswer::RecordAnswer(const RecordAnswer& other54) noexcept {
-  result = other54.result;
-  __isset = other54.__isset;
+RecordAnswer::RecordAnswer(const RecordAnswer& other56) noexcept {
+  result = other56.result;
+  __isset = other56.__isset;
 }
-RecordAnswer& RecordAnswer::operator=(const RecordAnswer& other55) noexcept {
-  result = other55.result;
-  __isset = other55.__isset;
+RecordAnswer& RecordAnswer::operator=(const RecordAnswer& other57) noexcept {
+  result = other57.result;
+  __isset = other57.__isset;
   return *this;
 }
 void RecordAnswer::printTo(std::ostream& out) const {
@@ -3441,13 +3575,13 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainAnswer::DrainAnswer(const DrainAnswer& other56) noexcept {
-  changed = other56.changed;
-  __isset = other56.__isset;
+DrainAnswer::DrainAnswer(const DrainAnswer& other58) noexcept {
+  changed = other58.changed;
+  __isset = other58.__isset;
 }
-DrainAnswer& DrainAnswer::operator=(const DrainAnswer& other57) noexcept {
-  changed = other57.changed;
-  __isset = other57.__isset;
+DrainAnswer& DrainAnswer::operator=(const DrainAnswer& other59) noexcept {
+  changed = other59.changed;
+  __isset = other59.__isset;
   return *this;
 }
 void DrainAnswer::printTo(std::ostream& out) const {
@@ -3567,17 +3701,17 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineAnswer::QuarantineAnswer(const QuarantineAnswer& other58) noexcept {
-  held = other58.held;
-  servers = other58.servers;
-  heldUntil = other58.heldUntil;
-  __isset = other58.__isset;
+QuarantineAnswer::QuarantineAnswer(const QuarantineAnswer& other60) noexcept {
+  held = other60.held;
+  servers = other60.servers;
+  heldUntil = other60.heldUntil;
+  __isset = other60.__isset;
 }
-QuarantineAnswer& QuarantineAnswer::operator=(const QuarantineAnswer& other59) noexcept {
-  held = other59.held;
-  servers = other59.servers;
-  heldUntil = other59.heldUntil;
-  __isset = other59.__isset;
+QuarantineAnswer& QuarantineAnswer::operator=(const QuarantineAnswer& other61) noexcept {
+  held = other61.held;
+  servers = other61.servers;
+  heldUntil = other61.heldUntil;
+  __isset = other61.__isset;
   return *this;
 }
 void QuarantineAnswer::printTo(std::ostream& out) const {
@@ -3665,13 +3799,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeAnswer::TimeAnswer(const TimeAnswer& other60) noexcept {
-  now = other60.now;
-  __isset = other60.__isset;
+TimeAnswer::TimeAnswer(const TimeAnswer& other62) noexcept {
+  now = other62.now;
+  __isset = other62.__isset;
 }
-TimeAnswer& TimeAnswer::operator=(const TimeAnswer& other61) noexcept {
-  now = other61.now;
-  __isset = other61.__isset;
+TimeAnswer& TimeAnswer::operator=(const TimeAnswer& other63) noexcept {
+  now = other63.now;
+  __isset = other63.__isset;
   return *this;
 }
 void TimeAnswer::printTo(std::ostream& out) const {
@@ -3682,6 +3816,118 @@
 }
 
 
+PublishAnswer::~PublishAnswer() noexcept {
+}
+
+
+void PublishAnswer::__set_adopted(const bool val) {
+  this->adopted = val;
+}
+
+void PublishAnswer::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const PublishAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PublishAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->adopted);
+          this->__isset.adopted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PublishAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PublishAnswer");
+
+  xfer += oprot->writeFieldBegin("adopted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->adopted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PublishAnswer &a, PublishAnswer &b) {
+  using ::std::swap;
+  swap(a.adopted, b.adopted);
+  swap(a.version, b.version);
+  swap(a.__isset, b.__isset);
+}
+
+PublishAnswer::PublishAnswer(const PublishAnswer& other64) noexcept {
+  adopted = other64.adopted;
+  version = other64.version;
+  __isset = other64.__isset;
+}
+PublishAnswer& PublishAnswer::operator=(const PublishAnswer& other65) noexcept {
+  adopted = other65.adopted;
+  version = other65.version;
+  __isset = other65.__isset;
+  return *this;
+}
+void PublishAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PublishAnswer(";
+  out << "adopted=" << to_string(adopted);
+  out << ", " << "version=" << to_string(version);
+  out << ")";
+}
+
+
 Answer::~Answer() noexcept {
 }
 
@@ -3729,6 +3975,11 @@
   this->time = val;
 __isset.time = true;
 }
+
+void Answer::__set_publish(const PublishAnswer& val) {
+  this->publish = val;
+__isset.publish = true;
+}
 std::ostream& operator<<(std::ostream& out, const Answer& obj)
 {
   obj.printTo(out);
@@ -3829,6 +4080,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->publish.read(iprot);
+          this->__isset.publish = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3890,6 +4149,11 @@
     xfer += this->time.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.publish) {
+    xfer += oprot->writeFieldBegin("publish", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->publish.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3906,32 +4170,35 @@
   swap(a.drain, b.drain);
   swap(a.quarantine, b.quarantine);
   swap(a.time, b.time);
+  swap(a.publish, b.publish);
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other62) {
-  version = other62.version;
-  change = other62.change;
-  decision = other62.decision;
-  observation = other62.observation;
-  claim = other62.claim;
-  record = other62.record;
-  drain = other62.drain;
-  quarantine = other62.quarantine;
-  time = other62.time;
-  __isset = other62.__isset;
-}
-Answer& Answer::operator=(const Answer& other63) {
-  version = other63.version;
-  change = other63.change;
-  decision = other63.decision;
-  observation = other63.observation;
-  claim = other63.claim;
-  record = other63.record;
-  drain = other63.drain;
-  quarantine = other63.quarantine;
-  time = other63.time;
-  __isset = other63.__isset;
+Answer::Answer(const Answer& other66) {
+  version = other66.version;
+  change = other66.change;
+  decision = other66.decision;
+  observation = other66.observation;
+  claim = other66.claim;
+  record = other66.record;
+  drain = other66.drain;
+  quarantine = other66.quarantine;
+  time = other66.time;
+  publish = other66.publish;
+  __isset = other66.__isset;
+}
+Answer& Answer::operator=(const Answer& other67) {
+  version = other67.version;
+  change = other67.change;
+  decision = other67.decision;
+  observation = other67.observation;
+  claim = other67.claim;
+  record = other67.record;
+  drain = other67.drain;
+  quarantine = other67.quarantine;
+  time = other67.time;
+  publish = other67.publish;
+  __isset = other67.__isset;
   return *this;
 }
 void Answer::printTo(std::ostream& out) const {
@@ -3946,6 +4213,7 @@
   out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
   out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
   out << ", " << "time="; (__isset.time ? (out << to_string(time)) : (out << "<null>"));
+  out << ", " << "publish="; (__isset.publish ? (out << to_string(publish)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/commands_types.h
+++ b/gen/commands_types.h
@@ -53,6 +53,8 @@
 
 class AdvanceTime;
 
+class PublishRoutes;
+
 class Command;
 
 class ChangeAnswer;
@@ -71,6 +73,8 @@
 
 class TimeAnswer;
 
+class PublishAnswer;
+
 class Answer;
 
 typedef struct _Digest__isset {
@@ -1052,8 +1056,58 @@
 
 std::ostream& operator<<(std::ostream& out, const AdvanceTime& obj);
 
+typedef struct _PublishRoutes__isset {
+  _PublishRoutes__isset() : version(false), document(false) {}
+  bool version :1;
+  bool document :1;
+} _PublishRoutes__isset;
+
+class PublishRoutes : public virtual ::apache::thrift::TBase {
+ public:
+
+  PublishRoutes(const PublishRoutes&);
+  PublishRoutes& operator=(const PublishRoutes&);
+  PublishRoutes() noexcept
+                : version(0),
+                  document() {
+  }
+
+  virtual ~PublishRoutes() noexcept;
+  int64_t version;
+  std::string document;
+
+  _PublishRoutes__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  bool operator == (const PublishRoutes & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    return true;
+  }
+  bool operator != (const PublishRoutes &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PublishRoutes & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PublishRoutes &a, PublishRoutes &b);
+
+std::ostream& operator<<(std::ostream& out, const PublishRoutes& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : version(false), changeSettings(false), decideLoad(false), decideUnload(false), observeOrder(false), adoptReplica(false), loseReplica(false), forgetServer(false), claim(false), recordOutcome(false), setDrain(false), reportCrash(false), releaseQuarantine(false), advanceTime(false) {}
+  _Command__isset() : version(false), changeSettings(false), decideLoad(false), decideUnload(false), observeOrder(false), adoptReplica(false), loseReplica(false), forgetServer(false), claim(false), recordOutcome(false), setDrain(false), reportCrash(false), releaseQuarantine(false), advanceTime(false), publishRoutes(false) {}
   bool version :1;
   bool changeSettings :1;
   bool decideLoad :1;
@@ -1068,6 +1122,7 @@
   bool reportCrash :1;
   bool releaseQuarantine :1;
   bool advanceTime :1;
+  bool publishRoutes :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1094,6 +1149,7 @@
   ReportCrash reportCrash;
   ReleaseQuarantine releaseQuarantine;
   AdvanceTime advanceTime;
+  PublishRoutes publishRoutes;
 
   _Command__isset __isset;
 
@@ -1125,6 +1181,8 @@
 
   void __set_advanceTime(const AdvanceTime& val);
 
+  void __set_publishRoutes(const PublishRoutes& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(version == rhs.version))
@@ -1181,6 +1239,10 @@
       return false;
     else if (__isset.advanceTime && !(advanceTime == rhs.advanceTime))
       return false;
+    if (__isset.publishRoutes != rhs.__isset.publishRoutes)
+      return false;
+    else if (__isset.publishRoutes && !(publishRoutes == rhs.publishRoutes))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1611,8 +1673,58 @@
 
 std::ostream& operator<<(std::ostream& out, const TimeAnswer& obj);
 
+typedef struct _PublishAnswer__isset {
+  _PublishAnswer__isset() : adopted(false), version(false) {}
+  bool adopted :1;
+  bool version :1;
+} _PublishAnswer__isset;
+
+class PublishAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PublishAnswer(const PublishAnswer&) noexcept;
+  PublishAnswer& operator=(const PublishAnswer&) noexcept;
+  PublishAnswer() noexcept
+                : adopted(0),
+                  version(0) {
+  }
+
+  virtual ~PublishAnswer() noexcept;
+  bool adopted;
+  int64_t version;
+
+  _PublishAnswer__isset __isset;
+
+  void __set_adopted(const bool val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const PublishAnswer & rhs) const
+  {
+    if (!(adopted == rhs.adopted))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    return true;
+  }
+  bool operator != (const PublishAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PublishAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PublishAnswer &a, PublishAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PublishAnswer& obj);
+
 typedef struct _Answer__isset {
-  _Answer__isset() : version(false), change(false), decision(false), observation(false), claim(false), record(false), drain(false), quarantine(false), time(false) {}
+  _Answer__isset() : version(false), change(false), decision(false), observation(false), claim(false), record(false), drain(false), quarantine(false), time(false), publish(false) {}
   bool version :1;
   bool change :1;
   bool decision :1;
@@ -1622,6 +1734,7 @@
   bool drain :1;
   bool quarantine :1;
   bool time :1;
+  bool publish :1;
 } _Answer__isset;
 
 class Answer : public virtual ::apache::thrift::TBase {
@@ -1643,6 +1756,7 @@
   DrainAnswer drain;
   QuarantineAnswer quarantine;
   TimeAnswer time;
+  PublishAnswer publish;
 
   _Answer__isset __isset;
 
@@ -1664,6 +1778,8 @@
 
   void __set_time(const TimeAnswer& val);
 
+  void __set_publish(const PublishAnswer& val);
+
   bool operator == (const Answer & rhs) const
   {
     if (!(version == rhs.version))
@@ -1700,6 +1816,10 @@
       return false;
     else if (__isset.time && !(time == rhs.time))
       return false;
+    if (__isset.publish != rhs.__isset.publish)
+      return false;
+    else if (__isset.publish && !(publish == rhs.publish))
+      return false;
     return true;
   }
   bool operator != (const Answer &rhs) const {
--- /dev/null
+++ b/protocol/CallHeaders.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace crocusslip::protocol {
+
+/// Names of the headers that callers and backend servers of a deployment use.
+struct CallHeaders
+{
+  /// Id of a caller's attempt; servers repeat it in their answers.
+  std::string requestId_;
+  /// Milliseconds that the sender will wait.
+  std::string deadlineMs_;
+  /// Id of the only server that may run the request.
+  std::string expectedServer_;
+  /// In an answer: the request did not run and never will.
+  std::string notRun_;
+  /// In an answer: proof that a server made it.
+  std::string signature_;
+  /// MODEL or MODEL/ADAPTER.
+  std::string model_;
+  /// Tokens of the prompt and most tokens of the answer: "IN,OUT".
+  std::string tokens_;
+  /// Rank of a request at a server; 0 is first.
+  std::string urgency_;
+  /// Id of the last event that the sender has.
+  std::string lastEvent_;
+  /// Headers that only this system may set; dropped from callers.
+  std::vector<std::string> reserved_;
+};
+
+} // namespace crocusslip::protocol
--- /dev/null
+++ b/protocol/fleet.thrift
@@ -0,0 +1,98 @@
+// Messages between forwarding entry hosts and the members of the control
+// group. Fields are only added, never renumbered.
+namespace cpp crocusslip.wire
+
+// What one host did with a backend server since its last call.
+struct ServerUse {
+  1: string server
+  2: i32 inFlight        // requests of this host that run or wait there now
+  3: i64 tokens          // tokens that these may need at most
+  4: i32 failures
+  5: i32 successes
+  6: i32 unreachable     // connections that could not be made or went silent
+  7: list<string> missing // models that the server said it doesn't have
+  8: list<string> active  // models that run there now
+}
+
+struct ModelUse {
+  1: string model        // MODEL or MODEL/ADAPTER
+  2: i32 waiting         // requests that wait for a server with it
+  3: i32 inFlight
+  4: i32 arrivals        // since the last call
+  5: i32 urgency         // of the most urgent that waits; 0 is first
+  6: i64 tokens          // that the waiting requests need
+  7: double worth        // of the waiting requests
+}
+
+// A request after which servers failed.
+struct Crash {
+  1: string fingerprint
+  2: string server
+}
+
+struct SyncRequest {
+  1: string host
+  2: string failureDomain
+  3: i64 instance
+  4: i64 epoch           // of the rows that the host holds; 0: none
+  5: i64 seen            // number of the newest change that it holds
+  6: i64 routesVersion
+  7: list<ServerUse> uses    // of all servers in use by the host
+  8: list<ModelUse> models   // of all models that wait or run
+  9: list<Crash> crashes
+  10: i32 waitMs         // longest time to hold the answer until a change
+}
+
+struct ServerRow {
+  1: string server
+  2: string address
+  3: string serviceName
+  4: string failureDomain
+  5: i8 state            // 0 ready, 1 leaving, 2 gone
+  6: i32 slots
+  7: list<string> models
+  8: i32 inFlight        // of all hosts
+  9: i64 tokens
+  10: bool suspect
+  11: list<string> coming // models that are being loaded
+  12: i64 memoryTokens   // 0: not known
+}
+
+struct ComingModel {
+  1: string model
+  2: i32 readyInMs
+}
+
+struct SyncReply {
+  1: bool leader
+  2: string leaderAddress
+  3: i64 epoch
+  4: i64 seen
+  5: bool complete       // the rows replace all that the host holds
+  6: list<ServerRow> rows
+  7: i64 routesVersion
+  8: binary routes       // when newer than the host's
+  9: list<string> members
+  10: list<string> quarantine
+  11: i32 hosts          // that called within the last seconds
+  12: list<ComingModel> coming
+}
+
+struct JoinRequest {
+  1: string address
+  2: string failureDomain
+  3: string disk
+  4: i32 member          // 0: none yet
+}
+
+struct JoinAnswer {
+  1: bool leader
+  2: string leaderAddress
+  3: i32 member          // 0: not a member at present
+  4: list<string> members
+}
+
+service Fleet {
+  SyncReply sync(1: SyncRequest request)
+  JoinAnswer join(1: JoinRequest request)
+}
--- a/state/Answer.hpp
+++ b/state/Answer.hpp
@@ -125,6 +125,14 @@
   AgreedTime now_;
 };
 
+struct PublishAnswer
+{
+  /// False when a version as high was held before.
+  bool adopted_ = false;
+  /// The version in force after the command.
+  std::uint64_t version_ = 0;
+};
+
 using Answer = std::variant<ChangeAnswer,
                             DecisionAnswer,
                             ObservationAnswer,
@@ -132,6 +140,7 @@
                             RecordAnswer,
                             DrainAnswer,
                             QuarantineAnswer,
-                            TimeAnswer>;
+                            TimeAnswer,
+                            PublishAnswer>;
 
 } // namespace crocusslip::state
--- a/state/AnswerCodec.cpp
+++ b/state/AnswerCodec.cpp
@@ -80,6 +80,14 @@
     time.now = FromTime(aAnswer.now_);
     out_.__set_time(time);
   }
+
+  void operator()(const PublishAnswer& aAnswer) const
+  {
+    wire::PublishAnswer publish;
+    publish.adopted = aAnswer.adopted_;
+    publish.version = static_cast<std::int64_t>(aAnswer.version_);
+    out_.__set_publish(publish);
+  }
 };
 
 ChangeAnswer
@@ -134,6 +142,11 @@
   if (set.time) {
     found.emplace_back(TimeAnswer{ ToTime(aRecord.time.now) });
   }
+  if (set.publish) {
+    found.emplace_back(
+      PublishAnswer{ aRecord.publish.adopted,
+                     static_cast<std::uint64_t>(aRecord.publish.version) });
+  }
   return found;
 }
 
--- a/state/Command.hpp
+++ b/state/Command.hpp
@@ -195,6 +195,14 @@
   AgreedTime now_;
 };
 
+/// A complete table of routes from an operator. The highest version is in
+/// force; the state machine keeps the text as it came.
+struct PublishRoutes
+{
+  std::uint64_t version_ = 0;
+  std::string document_;
+};
+
 using Command = std::variant<ChangeSettings,
                              DecideLoad,
                              DecideUnload,
@@ -207,6 +215,7 @@
                              SetDrain,
                              ReportCrash,
                              ReleaseQuarantine,
-                             AdvanceTime>;
+                             AdvanceTime,
+                             PublishRoutes>;
 
 } // namespace crocusslip::state
--- a/state/CommandCodec.cpp
+++ b/state/CommandCodec.cpp
@@ -122,6 +122,14 @@
     out_.__set_setDrain(drain);
   }
 
+  void operator()(const PublishRoutes& aCommand) const
+  {
+    wire::PublishRoutes publish;
+    publish.version = static_cast<std::int64_t>(aCommand.version_);
+    publish.document = aCommand.document_;
+    out_.__set_publishRoutes(publish);
+  }
+
   void operator()(const ReportCrash& aCommand) const
   {
     wire::ReportCrash report;
@@ -289,6 +297,11 @@
   if (set.advanceTime) {
     found.emplace_back(AdvanceTime{ ToTime(aRecord.advanceTime.now) });
   }
+  if (set.publishRoutes) {
+    found.emplace_back(PublishRoutes{
+      static_cast<std::uint64_t>(aRecord.publishRoutes.version),
+      std::move(aRecord.publishRoutes.document) });
+  }
   return found;
 }
 
--- a/state/StateMachine.cpp
+++ b/state/StateMachine.cpp
@@ -106,6 +106,11 @@
     return TimeAnswer{ state_.now_ };
   }
 
+  Answer operator()(const PublishRoutes& aCommand) const
+  {
+    return state_.routes_.Publish(aCommand);
+  }
+
   void Audit(const core::OperatorId& aOperator,
              std::string aAction,
              const std::string& aPath) const
@@ -162,6 +167,7 @@
   drains_.Write(aWriter);
   quarantine_.Write(aWriter);
   audit_.Write(aWriter);
+  routes_.Write(aWriter);
 }
 
 void
@@ -175,6 +181,7 @@
   drains_.Read(aReader);
   quarantine_.Read(aReader);
   audit_.Read(aReader);
+  routes_.Read(aReader);
 }
 
 std::string
--- a/state/StateMachine.hpp
+++ b/state/StateMachine.hpp
@@ -10,6 +10,7 @@
 #include "state/DrainTable.hpp"
 #include "state/OrderTable.hpp"
 #include "state/QuarantineTable.hpp"
+#include "state/RouteDocument.hpp"
 #include "state/SettingsTable.hpp"
 
 #include <string>
@@ -50,6 +51,7 @@
   const DrainTable& Drains() const { return drains_; }
   const QuarantineTable& Quarantine() const { return quarantine_; }
   const AuditTrail& Audit() const { return audit_; }
+  const RouteDocument& Routes() const { return routes_; }
   /// Replicas changed by commands after the given one.
   const ChangeFeed<ReplicaKey>& OrderChanges() const { return orderChanges_; }
   /// The last command that may have changed orders, drains or quarantine.
@@ -71,6 +73,7 @@
   DrainTable drains_;
   QuarantineTable quarantine_;
   AuditTrail audit_;
+  RouteDocument routes_;
   ChangeFeed<ReplicaKey> orderChanges_;
   core::LogIndex viewChangedAt_;
 };
--- a/state/commands.thrift
+++ b/state/commands.thrift
@@ -109,6 +109,11 @@
   1: i64 now
 }
 
+struct PublishRoutes {
+  1: i64 version
+  2: binary document
+}
+
 // Exactly one of the optional fields is set.
 struct Command {
   1: i32 version
@@ -125,6 +130,7 @@
   12: optional ReportCrash reportCrash
   13: optional ReleaseQuarantine releaseQuarantine
   14: optional AdvanceTime advanceTime
+  15: optional PublishRoutes publishRoutes
 }
 
 struct ChangeAnswer {
@@ -169,6 +175,11 @@
   1: i64 now
 }
 
+struct PublishAnswer {
+  1: bool adopted
+  2: i64 version
+}
+
 // Exactly one of the optional fields is set.
 struct Answer {
   1: i32 version
@@ -180,4 +191,5 @@
   7: optional DrainAnswer drain
   8: optional QuarantineAnswer quarantine
   9: optional TimeAnswer time
+  10: optional PublishAnswer publish
 }
--- a/tests/support/RandomCommand.cpp
+++ b/tests/support/RandomCommand.cpp
@@ -100,6 +100,8 @@
       };
     case 11:
       return ReleaseQuarantine{ fingerprint, person };
+    case 12:
+      return PublishRoutes{ aRandom.Below(20), fingerprint };
     default:
       return AdvanceTime{ AgreedTime(time * 10) };
   }
--- /dev/null
+++ b/transport/HttpLink.cpp
@@ -0,0 +1,467 @@
+#include "transport/HttpLink.hpp"
+
+#include "core/Log.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <charconv>
+#include <limits>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace crocusslip::transport {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+/// Largest answer that is not a stream.
+constexpr std::size_t kAnswerBytes = 8UL * 1024 * 1024;
+/// Pause after a failed accept, e.g. without free descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+/// Unacknowledged data older than this ends a connection.
+constexpr int kUserTimeoutMs = 5000;
+/// Time in which a closing peer may take the last bytes.
+constexpr std::chrono::milliseconds kLinger{ 500 };
+
+void
+SetOptions(Tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+  const int timeout = kUserTimeoutMs;
+  ::setsockopt(aSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &timeout,
+               sizeof(timeout));
+}
+
+std::optional<int>
+Peek(Tcp::socket& aSocket)
+{
+  char byte = 0;
+  const auto got =
+    ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    return std::nullopt;
+  }
+  return got < 0 ? 0 : static_cast<int>(got);
+}
+
+} // namespace
+
+std::optional<Tcp::endpoint>
+ParseEndpoint(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto address =
+    asio::ip::make_address(std::string(aText.substr(0, colon)), error);
+  std::uint16_t port = 0;
+  const std::string_view digits = aText.substr(colon + 1);
+  const auto parsed =
+    std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  const bool whole = parsed.ec == std::errc() &&
+                     parsed.ptr == digits.data() + digits.size();
+  if (error || !whole) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(address, port);
+}
+
+CallerLink::CallerLink(Tcp::socket aSocket, LinkLimits aLimits)
+  : stream_(std::move(aSocket))
+  , limits_(aLimits)
+{
+  SetOptions(stream_.socket());
+}
+
+Task<ReadResult>
+CallerLink::Read(HttpRequest& aRequest, const LinkLimits& aLimits)
+{
+  limits_ = aLimits;
+  boost::system::error_code error;
+  if (buffer_.size() == 0) {
+    stream_.expires_after(first_ ? limits_.headerTime_ : limits_.idleTime_);
+    const std::size_t got = co_await stream_.async_read_some(
+      buffer_.prepare(kReadBytes), Catch(error));
+    buffer_.commit(got);
+    if (error) {
+      co_return ReadResult::Closed;
+    }
+  }
+  first_ = false;
+  busy_ = true;
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits_.headerBytes_);
+  parser.body_limit(limits_.bodyBytes_);
+  stream_.expires_after(limits_.headerTime_);
+  co_await http::async_read_header(stream_, buffer_, parser, Catch(error));
+  if (error == beast::error::timeout) {
+    co_return ReadResult::HeaderTimeout;
+  }
+  if (error == http::error::header_limit) {
+    co_return ReadResult::HeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    co_return ReadResult::BodyTooLarge;
+  }
+  if (error) {
+    const bool syntax =
+      error.category() ==
+      http::make_error_code(http::error::bad_method).category();
+    const bool partial = error == http::error::partial_message ||
+                         error == http::error::end_of_stream;
+    co_return syntax && !partial ? ReadResult::Malformed : ReadResult::Broken;
+  }
+  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!co_await WriteRaw(kContinue)) {
+      co_return ReadResult::Broken;
+    }
+  }
+  while (!parser.is_done()) {
+    stream_.expires_after(limits_.stallTime_);
+    co_await http::async_read_some(stream_, buffer_, parser, Catch(error));
+    if (error == http::error::body_limit) {
+      co_return ReadResult::BodyTooLarge;
+    }
+    if (error == http::error::partial_message ||
+        error == beast::error::timeout) {
+      co_return ReadResult::Broken;
+    }
+    if (error) {
+      const bool syntax =
+        error.category() ==
+        http::make_error_code(http::error::bad_method).category();
+      co_return syntax ? ReadResult::Malformed : ReadResult::Broken;
+    }
+  }
+  stream_.expires_never();
+  aRequest = parser.release();
+  co_return ReadResult::Complete;
+}
+
+Task<bool>
+CallerLink::Write(http::response<http::string_body>& aResponse)
+{
+  boost::system::error_code error;
+  stream_.expires_after(limits_.stallTime_);
+  co_await http::async_write(stream_, aResponse, Catch(error));
+  stream_.expires_never();
+  co_return !error;
+}
+
+Task<bool>
+CallerLink::WriteRaw(std::string_view aBytes)
+{
+  boost::system::error_code error;
+  stream_.expires_after(limits_.stallTime_);
+  while (!aBytes.empty() && !error) {
+    const std::size_t sent = co_await stream_.async_write_some(
+      asio::buffer(aBytes.data(), aBytes.size()), Catch(error));
+    aBytes.remove_prefix(sent);
+  }
+  stream_.expires_never();
+  co_return !error;
+}
+
+Task<bool>
+CallerLink::AwaitClose()
+{
+  boost::system::error_code error;
+  co_await stream_.socket().async_wait(Tcp::socket::wait_read, Catch(error));
+  if (error) {
+    co_return error != asio::error::operation_aborted;
+  }
+  const auto peeked = Peek(stream_.socket());
+  co_return peeked && *peeked == 0;
+}
+
+void
+CallerLink::CancelWait()
+{
+  boost::system::error_code ignored;
+  stream_.socket().cancel(ignored);
+}
+
+void
+CallerLink::Abort()
+{
+  boost::system::error_code ignored;
+  auto& socket = stream_.socket();
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+Task<void>
+CallerLink::Finish()
+{
+  boost::system::error_code error;
+  auto& socket = stream_.socket();
+  if (!socket.is_open()) {
+    co_return;
+  }
+  // Bytes that were not read would turn the close into a reset, which may take
+  // the answer with it.
+  socket.shutdown(Tcp::socket::shutdown_send, error);
+  stream_.expires_after(kLinger);
+  while (!error) {
+    buffer_.clear();
+    co_await stream_.async_read_some(buffer_.prepare(kReadBytes), Catch(error));
+  }
+  socket.close(error);
+}
+
+void
+CallerLink::EndIdle()
+{
+  if (!busy_) {
+    boost::system::error_code ignored;
+    stream_.socket().close(ignored);
+  }
+}
+
+ServerLink::ServerLink(asio::io_context& aLoop)
+  : stream_(aLoop)
+{
+}
+
+bool
+ServerLink::Note(const boost::system::error_code& aError)
+{
+  timedOut_ = aError == beast::error::timeout;
+  return !aError;
+}
+
+Task<bool>
+ServerLink::Connect(const std::string& aAddress,
+                    std::chrono::milliseconds aTimeout)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return false;
+  }
+  boost::system::error_code error;
+  stream_.expires_after(aTimeout);
+  co_await stream_.async_connect(*endpoint, Catch(error));
+  if (Note(error)) {
+    SetOptions(stream_.socket());
+  }
+  co_return !error;
+}
+
+Task<bool>
+ServerLink::Send(const HttpRequest& aRequest, std::chrono::nanoseconds aTimeout)
+{
+  parser_.reset();
+  boost::system::error_code error;
+  stream_.expires_after(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout));
+  co_await http::async_write(stream_, aRequest, Catch(error));
+  co_return Note(error);
+}
+
+Task<bool>
+ServerLink::ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout)
+{
+  boost::system::error_code error;
+  parser_.emplace();
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  stream_.expires_after(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout));
+  co_await http::async_read_header(stream_, buffer_, *parser_, Catch(error));
+  if (!Note(error)) {
+    parser_.reset();
+    co_return false;
+  }
+  const auto& message = parser_->get();
+  aHead.status_ = message.result_int();
+  aHead.fields_ = message.base();
+  aHead.keepAlive_ = parser_->keep_alive();
+  keepAlive_ = aHead.keepAlive_;
+  const auto idle = message["Keep-Alive"];
+  const auto at = idle.find("timeout=");
+  if (at != std::string_view::npos) {
+    int seconds = 0;
+    const char* begin = idle.data() + at + std::string_view("timeout=").size();
+    std::from_chars(begin, idle.data() + idle.size(), seconds);
+    serverIdle_ = std::chrono::seconds(seconds);
+  }
+  co_return true;
+}
+
+Task<std::optional<std::string_view>>
+ServerLink::ReadBody(std::chrono::nanoseconds aTimeout)
+{
+  if (!parser_) {
+    co_return std::nullopt;
+  }
+  chunk_.resize(kReadBytes);
+  auto& body = parser_->get().body();
+  std::size_t got = 0;
+  while (got == 0 && !parser_->is_done()) {
+    body.data = chunk_.data();
+    body.size = chunk_.size();
+    body.more = true;
+    boost::system::error_code error;
+    stream_.expires_after(
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout));
+    co_await http::async_read_some(stream_, buffer_, *parser_, Catch(error));
+    got = chunk_.size() - body.size;
+    if (error == http::error::need_buffer) {
+      error = {};
+    }
+    if (error && got == 0) {
+      Note(error);
+      co_return std::nullopt;
+    }
+  }
+  co_return std::string_view(chunk_).substr(0, got);
+}
+
+Task<bool>
+ServerLink::ReadRest(std::string& aBody, std::chrono::nanoseconds aTimeout)
+{
+  const auto until =
+    std::chrono::steady_clock::now() +
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout);
+  while (true) {
+    const auto left = until - std::chrono::steady_clock::now();
+    if (left <= std::chrono::nanoseconds(0)) {
+      timedOut_ = true;
+      co_return false;
+    }
+    const auto part = co_await ReadBody(left);
+    if (!part || aBody.size() > kAnswerBytes) {
+      co_return false;
+    }
+    if (part->empty()) {
+      co_return true;
+    }
+    aBody += *part;
+  }
+}
+
+bool
+ServerLink::Reusable() const
+{
+  return parser_ && parser_->is_done() && keepAlive_ && buffer_.size() == 0;
+}
+
+bool
+ServerLink::Quiet()
+{
+  return stream_.socket().is_open() && !Peek(stream_.socket());
+}
+
+void
+ServerLink::Abort()
+{
+  boost::system::error_code ignored;
+  stream_.socket().close(ignored);
+}
+
+LinkListener::LinkListener(asio::io_context& aLoop,
+                           const std::string& aAddress,
+                           std::function<void(Tcp::socket)> aAccept)
+  : loop_(aLoop)
+  , address_(aAddress)
+  , accept_(std::move(aAccept))
+  , acceptor_(aLoop)
+{
+}
+
+core::Status
+LinkListener::Start()
+{
+  const auto endpoint = ParseEndpoint(address_);
+  boost::system::error_code error;
+  if (!endpoint) {
+    return core::Error{ make_error_code(core::Errc::InvalidInput),
+                        address_ + " is not an address" };
+  }
+  acceptor_.open(endpoint->protocol(), error);
+  acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor_.bind(*endpoint, error);
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return core::Error{ make_error_code(core::Errc::Unavailable),
+                        "cannot listen on " + address_ + ": " +
+                          error.message() };
+  }
+  Spawn(loop_, [this] { return Run(); });
+  return core::Success{};
+}
+
+Task<void>
+LinkListener::Run()
+{
+  asio::steady_timer pause(loop_);
+  while (acceptor_.is_open()) {
+    boost::system::error_code error;
+    Tcp::socket socket(loop_);
+    co_await acceptor_.async_accept(socket, Catch(error));
+    if (!error) {
+      accept_(std::move(socket));
+    } else if (error == asio::error::operation_aborted) {
+      co_return;
+    } else {
+      core::Log(core::LogLevel::Warning,
+                "connection not accepted",
+                { { "reason", error.message() } });
+      co_await Sleep(pause, kAcceptPause);
+    }
+  }
+}
+
+void
+LinkListener::Stop()
+{
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+std::uint16_t
+LinkListener::Port() const
+{
+  boost::system::error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+Task<core::Result<WholeAnswer>>
+CallOnce(asio::io_context& aLoop,
+         const std::string& aAddress,
+         const HttpRequest& aRequest,
+         std::chrono::milliseconds aTimeout)
+{
+  const auto fail = [&](core::Errc aCode, const char* aWhat) {
+    return core::Error{ make_error_code(aCode), aAddress + ": " + aWhat };
+  };
+  ServerLink link(aLoop);
+  if (!co_await link.Connect(aAddress, aTimeout)) {
+    co_return fail(core::Errc::ConnectFailed, "no connection");
+  }
+  AnswerHead head;
+  const bool answered = co_await link.Send(aRequest, aTimeout) &&
+                        co_await link.ReadHead(head, aTimeout);
+  WholeAnswer answer;
+  if (!answered || !co_await link.ReadRest(answer.body_, aTimeout)) {
+    co_return fail(link.TimedOut() ? core::Errc::Timeout
+                                   : core::Errc::ConnectionLost,
+                   "no whole answer");
+  }
+  answer.status_ = head.status_;
+  answer.fields_ = std::move(head.fields_);
+  co_return answer;
+}
+
+} // namespace crocusslip::transport
--- /dev/null
+++ b/transport/HttpLink.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "core/Error.hpp"
+#include "transport/Coroutine.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// HTTP/1.1 connections with control of each read, write and close, which the
+/// library of HttpServer and HttpClient does not give (docs/platform.md).
+namespace crocusslip::transport {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+struct LinkLimits
+{
+  std::uint32_t headerBytes_ = 16 * 1024;
+  std::uint64_t bodyBytes_ = 4ULL * 1024 * 1024;
+  std::chrono::milliseconds headerTime_{ 3000 };
+  std::chrono::milliseconds idleTime_{ 15'000 };
+  /// Longest time for one write, and between two reads of a body.
+  std::chrono::milliseconds stallTime_{ 10'000 };
+};
+
+using HttpRequest = http::request<http::string_body>;
+
+enum class ReadResult : std::uint8_t
+{
+  Complete,
+  /// The peer closed or was silent before the first byte of a message.
+  Closed,
+  HeaderTimeout,
+  HeaderTooLarge,
+  BodyTooLarge,
+  Malformed,
+  /// The connection broke within a message.
+  Broken,
+};
+
+/// A caller's connection.
+class CallerLink
+{
+public:
+  CallerLink(Tcp::socket aSocket, LinkLimits aLimits);
+  CallerLink(const CallerLink&) = delete;
+  CallerLink& operator=(const CallerLink&) = delete;
+
+  /// Reads a whole request. aLimits may have changed since the last one.
+  Task<ReadResult> Read(HttpRequest& aRequest, const LinkLimits& aLimits);
+  /// Whether a request is being read or was read and not answered yet.
+  bool Busy() const { return busy_; }
+  void SetBusy(bool aBusy) { busy_ = aBusy; }
+  Task<bool> Write(http::response<http::string_body>& aResponse);
+  /// Writes bytes as they are.
+  Task<bool> WriteRaw(std::string_view aBytes);
+  /// Waits until the caller closes its connection. Returns false when the
+  /// wait was cancelled or the caller has sent more.
+  Task<bool> AwaitClose();
+  void CancelWait();
+  /// Ends the connection so that an unfinished answer does not look complete.
+  void Abort();
+  /// Ends the connection after what has been written.
+  Task<void> Finish();
+  /// Ends a wait for the next request.
+  void EndIdle();
+
+private:
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  LinkLimits limits_;
+  bool busy_ = false;
+  bool first_ = true;
+};
+
+/// Head of a backend server's answer.
+struct AnswerHead
+{
+  unsigned status_ = 0;
+  http::fields fields_;
+  bool keepAlive_ = false;
+};
+
+/// A connection to a backend server. Serves one request at a time.
+class ServerLink
+{
+public:
+  explicit ServerLink(asio::io_context& aLoop);
+  ServerLink(const ServerLink&) = delete;
+  ServerLink& operator=(const ServerLink&) = delete;
+
+  Task<bool> Connect(const std::string& aAddress,
+                     std::chrono::milliseconds aTimeout);
+  /// False when the request may have left in part.
+  Task<bool> Send(const HttpRequest& aRequest,
+                  std::chrono::nanoseconds aTimeout);
+  /// Reads the head of the next answer.
+  Task<bool> ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout);
+  /// The next bytes of the body; empty at its end. Nothing on failure.
+  Task<std::optional<std::string_view>> ReadBody(
+    std::chrono::nanoseconds aTimeout);
+  /// Reads the rest of the body. False when it is cut short or too long.
+  Task<bool> ReadRest(std::string& aBody, std::chrono::nanoseconds aTimeout);
+  /// The whole answer was read and the server keeps the connection.
+  bool Reusable() const;
+  /// Nothing has arrived or been closed since the last answer.
+  bool Quiet();
+  void Abort();
+  bool TimedOut() const { return timedOut_; }
+  std::chrono::steady_clock::time_point idleSince_;
+  /// How long the server keeps an idle connection; 0: it did not say.
+  std::chrono::seconds serverIdle_{ 0 };
+
+private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  bool Note(const boost::system::error_code& aError);
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::string chunk_;
+  bool timedOut_ = false;
+  bool keepAlive_ = false;
+};
+
+/// Accepts connections until stopped.
+class LinkListener
+{
+public:
+  LinkListener(asio::io_context& aLoop,
+               const std::string& aAddress,
+               std::function<void(Tcp::socket)> aAccept);
+  core::Status Start();
+  void Stop();
+  std::uint16_t Port() const;
+
+private:
+  Task<void> Run();
+
+  asio::io_context& loop_;
+  const std::string address_;
+  std::function<void(Tcp::socket)> accept_;
+  Tcp::acceptor acceptor_;
+};
+
+/// "10.0.0.1:80" as an endpoint; nothing when it isn't one.
+std::optional<Tcp::endpoint>
+ParseEndpoint(std::string_view aText);
+
+/// One call on a connection of its own; for calls that are rare.
+struct WholeAnswer
+{
+  unsigned status_ = 0;
+  http::fields fields_;
+  std::string body_;
+};
+Task<core::Result<WholeAnswer>>
+CallOnce(asio::io_context& aLoop,
+         const std::string& aAddress,
+         const HttpRequest& aRequest,
+         std::chrono::milliseconds aTimeout);
+
+} // namespace crocusslip::transport
--- a/transport/HttpServer.hpp
+++ b/transport/HttpServer.hpp
@@ -3,6 +3,7 @@
 #include "core/Error.hpp"
 #include "core/Reasons.hpp"
 #include "protocol/HttpMessage.hpp"
+#include "transport/TlsFiles.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -45,18 +46,6 @@
 using RefusalMaker =
   std::function<protocol::HttpResponse(core::RefusalReason, std::string)>;
 
-/// PEM files; empty names mean plain HTTP.
-struct TlsFiles
-{
-  std::string certificate_;
-  std::string key_;
-  std::string authority_;
-  /// Requires a certificate that the authority has signed from the peer.
-  bool verifyPeer_ = false;
-
-  bool Enabled() const { return !certificate_.empty(); }
-};
-
 struct HttpServerSettings
 {
   std::string address_ = "127.0.0.1";
--- a/transport/RpcClient.cpp
+++ b/transport/RpcClient.cpp
@@ -1,6 +1,7 @@
 #include "transport/RpcClient.hpp"
 
 #include "Control.h"
+#include "Fleet.h"
 #include "Member.h"
 #include "transport/FaultSwitch.hpp"
 #include "transport/RpcFrames.hpp"
@@ -99,6 +100,7 @@
 }
 
 template class RpcClient<wire::ControlClient>;
+template class RpcClient<wire::FleetClient>;
 template class RpcClient<wire::MemberClient>;
 
 } // namespace crocusslip::transport
--- a/transport/RpcClient.hpp
+++ b/transport/RpcClient.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Error.hpp"
-#include "transport/HttpServer.hpp"
+#include "transport/TlsFiles.hpp"
 
 #include <chrono>
 #include <functional>
@@ -11,6 +11,7 @@
 
 namespace crocusslip::wire {
 class ControlClient;
+class FleetClient;
 class MemberClient;
 }
 
@@ -53,6 +54,7 @@
 };
 
 using ControlRpc = RpcClient<wire::ControlClient>;
+using FleetRpc = RpcClient<wire::FleetClient>;
 using MemberRpc = RpcClient<wire::MemberClient>;
 
 } // namespace crocusslip::transport
--- a/transport/RpcServer.hpp
+++ b/transport/RpcServer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Error.hpp"
-#include "transport/HttpServer.hpp"
+#include "transport/TlsFiles.hpp"
 
 #include <cstdint>
 #include <memory>
--- a/transport/TlsReload.hpp
+++ b/transport/TlsReload.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "transport/HttpServer.hpp"
+#include "transport/TlsFiles.hpp"
 
 #include <cstdint>
 #include <memory>
