Place replicas by load, keep models in use, let joining members answer

Cause: hot models were evicted for rare ones, and replicas were added only when requests waited; new members did not know the leader's address. Change: desired replicas follow load, a model in use goes only where others carry it; the join answer names ids and addresses; conflicts of orders are retried before the sequence is read again.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -19,8 +19,10 @@
 constexpr std::chrono::milliseconds kIdleInterval{ 100 };
 /// Beyond the lease of the holder before, for the clocks' differences.
 constexpr std::chrono::milliseconds kLeaseMargin{ 200 };
-constexpr std::chrono::milliseconds kOrderRetry{ 100 };
+constexpr std::chrono::milliseconds kOrderRetry{ 60 };
 constexpr int kOrderTries = 40;
+/// Conflicts after which the engine's sequence is read again.
+constexpr int kConflictsToRead = 4;
 /// Sends of one order without an answer.
 constexpr int kUnknownTries = 4;
 constexpr std::chrono::milliseconds kUnloadTime{ 20 };
@@ -29,6 +31,9 @@
 /// Longest time that an order's effect is waited for.
 constexpr std::chrono::seconds kLongestEffect{ 60 };
 constexpr std::chrono::milliseconds kRefreshInterval{ 1000 };
+/// Interval of the log line about the busiest models.
+constexpr std::chrono::seconds kSummaryInterval{ 2 };
+constexpr std::size_t kSummaryModels = 12;
 constexpr std::chrono::milliseconds kLongestWait{ 1000 };
 
 std::int64_t
@@ -179,6 +184,12 @@
             usable.insert(server.server_);
             placement_.AddServer(server.server_, server.service_);
             placement_.OnContent(server.server_, server.content_, now);
+            // What it has copies of is known from its own report only.
+            if (!engines_[server.server_].sequence_) {
+              transport::Spawn(loop_, [this, id = server.server_, term] {
+                return Refresh(id, term);
+              });
+            }
           } else {
             placement_.RemoveServer(server.server_);
             engines_.erase(server.server_);
@@ -232,9 +243,16 @@
   placement_.OnDemand(table_.TakeDemand(), now);
   for (const auto& [id, row] : table_.Rows()) {
     if (limits_.contains(row.row_.service_)) {
-      placement_.OnActive(id, table_.ActiveAt(id));
+      placement_.OnActive(id, table_.ActiveAt(id), row.inFlight_);
     }
   }
+  if (now >= summaryAt_) {
+    summaryAt_ = now + kSummaryInterval;
+    core::Log(core::LogLevel::Info,
+              "busiest models",
+              { { "models", placement_.Summary(kSummaryModels) },
+                { "hosts", std::to_string(table_.Hosts()) } });
+  }
   std::vector<PlacementOrder> orders;
   if (listed_ && !fenced_ && now >= ordersFrom_) {
     orders = placement_.Decide(now);
@@ -335,6 +353,7 @@
 {
   transport::asio::steady_timer timer(loop_);
   int unanswered = 0;
+  int conflicts = 0;
   for (int tries = 0; tries < kOrderTries; ++tries) {
     std::optional<std::int64_t> sequence;
     {
@@ -372,9 +391,12 @@
         co_return co_await AwaitEffect(aOrder, aTerm);
       }
       case OrderReply::Holds: {
-        // Adapters that no request uses are unloaded with this answer.
-        const std::lock_guard lock(mutex_);
-        engines_[aOrder.server_].sequence_.reset();
+        // An adapter that no request uses is unloaded with this answer, which
+        // counts in the sequence.
+        if (aOrder.verb_ == PlacementVerb::Unload) {
+          const std::lock_guard lock(mutex_);
+          engines_[aOrder.server_].sequence_ = *sequence + 1;
+        }
         co_return true;
       }
       case OrderReply::Fenced: {
@@ -392,8 +414,12 @@
         }
         break;
       case OrderReply::Conflict: {
-        const std::lock_guard lock(mutex_);
-        engines_[aOrder.server_].sequence_.reset();
+        // Mostly the order before is still under way; else the sequence is not
+        // the one that was assumed.
+        if (++conflicts % kConflictsToRead == 0) {
+          const std::lock_guard lock(mutex_);
+          engines_[aOrder.server_].sequence_.reset();
+        }
         break;
       }
     }
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -96,6 +96,7 @@
   std::condition_variable changed_;
   core::Term term_;
   core::MonotonicTime ordersFrom_;
+  core::MonotonicTime summaryAt_;
   bool fenced_ = false;
   bool listed_ = false;
   std::uint64_t routesVersion_ = 0;
--- a/control/GroupHost.cpp
+++ b/control/GroupHost.cpp
@@ -223,6 +223,12 @@
                                        aMember,
                                        transport::TlsFiles{},
                                        kCallTimeout);
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, address] : addresses_) {
+      peers->SetAddress(id, address);
+    }
+  }
   GroupHooks hooks = hooks_;
   auto slot = std::make_shared<std::weak_ptr<Group>>();
   hooks.send_ = [peers](const coordination::RaftMessage& aMessage) {
@@ -307,6 +313,21 @@
   return all;
 }
 
+// A new member has no list of members yet, and must answer the leader.
+void
+GroupHost::LearnAddresses(const wire::JoinAnswer& aAnswer)
+{
+  const std::size_t count =
+    std::min(aAnswer.members.size(), aAnswer.memberIds.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const core::MemberId id(static_cast<std::uint32_t>(aAnswer.memberIds[i]));
+    addresses_[id] = aAnswer.members[i];
+    if (peers_) {
+      peers_->SetAddress(id, aAnswer.members[i]);
+    }
+  }
+}
+
 wire::JoinAnswer
 GroupHost::Ask(std::int32_t aMember)
 {
@@ -339,6 +360,7 @@
     if (answer.leader) {
       const std::lock_guard lock(mutex_);
       known_ = answer.members;
+      LearnAddresses(answer);
       return answer;
     }
     if (!answer.leaderAddress.empty()) {
@@ -494,6 +516,7 @@
   answer.leader = true;
   for (const state::GroupMember& member : status.members_.members_) {
     answer.members.push_back(member.address_);
+    answer.memberIds.push_back(static_cast<std::int32_t>(member.id_.Value()));
   }
   if (aRequest.member > 0) {
     const core::MemberId id(static_cast<std::uint32_t>(aRequest.member));
--- a/control/GroupHost.hpp
+++ b/control/GroupHost.hpp
@@ -73,6 +73,8 @@
   void LookAfter();
   void Repair(const std::shared_ptr<Group>& aGroup, const GroupStatus& aStatus);
   void AskWhetherMember(const GroupStatus& aStatus);
+  /// Called with mutex_ held.
+  void LearnAddresses(const wire::JoinAnswer& aAnswer);
   /// Empty answer when nobody could tell.
   wire::JoinAnswer Ask(std::int32_t aMember);
   std::vector<std::string> Addresses() const;
@@ -94,6 +96,7 @@
   std::shared_ptr<Peers> peers_;
   core::MemberId self_;
   std::vector<std::string> known_;
+  std::map<core::MemberId, std::string> addresses_;
 
   /// Only of the thread that looks after the group.
   core::Term contactsTerm_;
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -19,6 +19,12 @@
 /// Penalty of a server in another failure domain, as a share of the score.
 constexpr double kOtherDomain = 1.05;
 constexpr double kSuspectPenalty = 4;
+/// Runs at a server that count as much as the first one.
+constexpr double kRunsPerPenalty = 4;
+constexpr double kBeginningPenalty = 1.5;
+/// Share of an engine's places that are used: with more, the streams of all
+/// its runs pause for longer than callers want.
+constexpr double kPlacesShare = 0.4;
 /// Share of a server's token memory that is filled by estimate; answers are
 /// often shorter than their limit, but an overfull server preempts.
 constexpr double kMemoryShare = 0.95;
@@ -63,8 +69,11 @@
 BackendView::HasPlace(const Server& aServer, const BackendNeed& aNeed) const
 {
   const BackendRow& row = aServer.row_;
+  const double places = row.memoryTokens_ > 0
+                          ? std::max(1.0, kPlacesShare * row.slots_)
+                          : row.slots_;
   if (row.slots_ > 0 &&
-      row.othersInFlight_ + aServer.use_.inFlight_ >= row.slots_) {
+      row.othersInFlight_ + aServer.use_.inFlight_ >= places) {
     return false;
   }
   if (row.memoryTokens_ == 0 || aNeed.tokens_ == 0) {
@@ -80,17 +89,19 @@
 BackendView::Score(const Server& aServer, core::MonotonicTime) const
 {
   const BackendRow& row = aServer.row_;
-  const double slots = row.slots_ == 0 ? 1.0 : row.slots_;
-  double load = (row.othersInFlight_ + aServer.use_.inFlight_) / slots;
+  const double inFlight = row.othersInFlight_ + aServer.use_.inFlight_;
+  double score = 0;
   if (row.memoryTokens_ > 0) {
-    const double tokens =
-      static_cast<double>(row.othersTokens_ + aServer.use_.tokens_) /
-      static_cast<double>(row.memoryTokens_);
-    load = std::max(load, tokens);
+    // Each run makes the batch slower; each prompt that is being read holds up
+    // all streams of the server.
+    score = 1 + inFlight / kRunsPerPenalty +
+            kBeginningPenalty * aServer.beginning_;
+  } else {
+    const double slots = row.slots_ == 0 ? 1.0 : row.slots_;
+    const double latency =
+      aServer.latencyMs_ > 0 ? aServer.latencyMs_ : kUnknownLatencyMs;
+    score = latency * (0.2 + inFlight / slots);
   }
-  const double latency =
-    aServer.latencyMs_ > 0 ? aServer.latencyMs_ : kUnknownLatencyMs;
-  double score = latency * (0.2 + load);
   if (row.failureDomain_ != own_) {
     score *= kOtherDomain;
   }
@@ -158,6 +169,7 @@
   const auto found = servers_.find(aServer);
   if (found != servers_.end()) {
     ++found->second.use_.inFlight_;
+    ++found->second.beginning_;
     found->second.use_.tokens_ += aTokens;
   }
 }
@@ -197,6 +209,15 @@
   }
 }
 
+void
+BackendView::OnFirstEvent(const core::ServerId& aServer)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end() && found->second.beginning_ > 0) {
+    --found->second.beginning_;
+  }
+}
+
 void
 BackendView::OnLatency(const core::ServerId& aServer, core::Duration aTime)
 {
@@ -266,6 +287,15 @@
   return uses;
 }
 
+std::uint32_t
+BackendView::LoadOf(const core::ServerId& aServer) const
+{
+  const auto found = servers_.find(aServer);
+  return found == servers_.end() ? 0
+                                 : found->second.row_.othersInFlight_ +
+                                     found->second.use_.inFlight_;
+}
+
 const BackendRow*
 BackendView::Find(const core::ServerId& aServer) const
 {
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -107,6 +107,8 @@
                 std::uint64_t aTokens,
                 SendOutcome aOutcome,
                 core::MonotonicTime aNow);
+  /// A run that OnStart counted has read its prompt.
+  void OnFirstEvent(const core::ServerId& aServer);
   /// Time from a send to the head of its answer.
   void OnLatency(const core::ServerId& aServer, core::Duration aTime);
   /// The server said that it does not have the model. It is believed until the
@@ -131,6 +133,8 @@
   };
   /// What to report; the counts start anew.
   std::map<core::ServerId, Use> TakeUses();
+  /// Requests of all hosts at a server.
+  std::uint32_t LoadOf(const core::ServerId& aServer) const;
   const BackendRow* Find(const core::ServerId& aServer) const;
   std::size_t Size() const { return servers_.size(); }
 
@@ -139,6 +143,8 @@
   {
     BackendRow row_;
     Use use_;
+    /// Own requests whose prompt is still being read.
+    std::uint32_t beginning_ = 0;
     double latencyMs_ = 0;
     std::uint32_t failuresInRow_ = 0;
     std::optional<core::MonotonicTime> outUntil_;
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -24,8 +24,17 @@
 constexpr double kRateHalfLifeS = 10;
 /// Runs that an unload has to wait for, when the model is in use.
 constexpr double kActiveEvictionS = 2.5;
-/// Waiting requests per holder that justify one more replica.
-constexpr std::uint32_t kWaitingPerHolder = 4;
+/// Regret of a model that nobody has used, and added for recent use.
+constexpr double kUnusedRegret = 0.02;
+constexpr double kRecentRegret = 0.05;
+/// Store loads of models that nobody waits for.
+constexpr std::uint32_t kPrefetchesAtOnce = 2;
+/// Requests that run or wait for each replica of a busy model.
+constexpr double kLoadPerHolder = 6;
+/// Weight of a want without any replica against one for one more replica.
+constexpr double kFirstReplicaWeight = 20;
+/// Cost, in seconds, of each request that runs at a candidate.
+constexpr double kLoadCostS = 0.05;
 
 double
 Seconds(core::Duration aTime)
@@ -114,11 +123,13 @@
 
 void
 ModelPlacement::OnActive(const core::ServerId& aServer,
-                         std::set<core::ModelName> aActive)
+                         std::set<core::ModelName> aActive,
+                         std::uint32_t aInFlight)
 {
   const auto found = servers_.find(aServer);
   if (found != servers_.end()) {
     found->second.active_ = std::move(aActive);
+    found->second.inFlight_ = aInFlight;
   }
 }
 
@@ -143,11 +154,13 @@
       need.lastUsed_ = aNow;
     }
   }
-  for (auto& [model, need] : needs_) {
-    if (need.now_.waiting_ == 0) {
-      need.waitingSince_.reset();
-    } else if (!need.waitingSince_) {
-      need.waitingSince_ = aNow;
+  byModel_.clear();
+  for (const auto& [name, need] : needs_) {
+    if (need.now_.waiting_ + need.now_.inFlight_ > 0) {
+      ModelDemand& total = byModel_[SplitModel(name).model_];
+      total.waiting_ += need.now_.waiting_;
+      total.inFlight_ += need.now_.inFlight_;
+      total.weight_ += need.now_.weight_;
     }
   }
 }
@@ -269,30 +282,40 @@
   return true;
 }
 
-// What is lost, in request seconds, when the server no longer has the model.
-double
+ModelDemand
+ModelPlacement::DemandOf(const core::ModelName& aModel) const
+{
+  const auto found = byModel_.find(aModel);
+  return found == byModel_.end() ? ModelDemand{} : found->second;
+}
+
+// What is lost, in request seconds, when the server no longer has the model;
+// nothing when it must stay.
+std::optional<double>
 ModelPlacement::Regret(const Server& aServer,
                        const core::ModelName& aModel,
                        core::MonotonicTime aNow) const
 {
-  const auto need = needs_.find(aModel);
-  const double rate = need == needs_.end() ? 0 : need->second.rate_;
+  const ModelDemand demand = DemandOf(aModel);
   const std::uint32_t holders = Holders(aModel);
-  // The last replica's absence delays each request by a load; that of one of
-  // several only costs places.
-  double regret = holders <= 1 ? 0.02 + rate : rate / (2.0 * holders);
-  if (aServer.active_.contains(aModel)) {
-    regret += kActiveEvictionS;
-  }
-  if (need != needs_.end() && need->second.now_.waiting_ > 0) {
-    regret += need->second.now_.weight_;
+  // A model in use is given up only where the other replicas can carry it.
+  if (aServer.active_.contains(aModel) || demand.waiting_ > 0) {
+    const double load = demand.waiting_ + demand.inFlight_;
+    if (holders <= 1 || load / (holders - 1) > kLoadPerHolder) {
+      return std::nullopt;
+    }
+    return kActiveEvictionS;
   }
-  // Among models that nobody uses, the one unused for longest goes first.
-  if (need != needs_.end()) {
-    const double idle = Seconds(aNow - need->second.lastUsed_);
-    regret += 0.01 / (1.0 + std::max(0.0, idle));
+  const auto need = needs_.find(aModel);
+  if (need == needs_.end()) {
+    return holders <= 1 ? kUnusedRegret : kUnusedRegret / 2;
   }
-  return regret;
+  // The last replica's absence delays the next request by a load; that of one
+  // of several only costs places. Among equals the longest unused goes first.
+  const double idle = Seconds(aNow - need->second.lastUsed_);
+  const double rate = need->second.rate_;
+  return (holders <= 1 ? kUnusedRegret + rate : rate / (4.0 * holders)) +
+         kRecentRegret / (1.0 + std::max(0.0, idle));
 }
 
 std::optional<ModelPlacement::Candidate>
@@ -310,16 +333,17 @@
   Candidate candidate;
   candidate.server_ = aId;
   candidate.tier_ = TierOf(aServer, aModel);
-  candidate.cost_ =
-    Seconds(LoadTime(*limits, aModel, candidate.tier_));
+  candidate.cost_ = Seconds(LoadTime(*limits, aModel, candidate.tier_)) +
+                    kLoadCostS * aServer.inFlight_;
   const std::uint32_t wanted = SizeMb(*limits, aModel, nullptr);
   std::uint32_t used = UsedMb(aServer, *limits);
   std::vector<std::pair<double, core::ModelName>> victims;
   for (const auto& [model, held] : aServer.models_) {
+    const auto regret = Regret(aServer, model, aNow);
     const bool stays = aNow < held.since_ + kLeastStay ||
                        (!aUrgent && aServer.active_.contains(model));
-    if (!stays) {
-      victims.emplace_back(Regret(aServer, model, aNow), model);
+    if (regret && !stays) {
+      victims.emplace_back(*regret, model);
     }
   }
   std::ranges::sort(victims);
@@ -380,29 +404,29 @@
   {
     core::ModelName model_;
     double weight_;
+    bool urgent_;
   };
-  std::map<core::ModelName, ModelDemand> byModel;
-  for (const auto& [name, need] : needs_) {
-    ModelDemand& total = byModel[SplitModel(name).model_];
-    total.waiting_ += need.now_.waiting_;
-    total.weight_ += need.now_.weight_;
-  }
   std::vector<Want> wants;
-  for (const auto& [model, demand] : byModel) {
-    if (demand.waiting_ == 0 || ComingTo(model) > 0) {
-      continue;
-    }
+  for (const auto& [model, demand] : byModel_) {
     const std::uint32_t holders = Holders(model);
-    if (holders > 0 && demand.waiting_ < kWaitingPerHolder * holders) {
-      continue;
+    const std::uint32_t coming = ComingTo(model);
+    const double load = demand.waiting_ + demand.inFlight_;
+    const auto desired =
+      static_cast<std::uint32_t>(std::ceil(load / kLoadPerHolder));
+    const bool first = holders + coming == 0 && demand.waiting_ > 0;
+    if (first) {
+      wants.push_back({ model, kFirstReplicaWeight * demand.weight_, true });
+    } else if (demand.waiting_ + demand.inFlight_ > 0) {
+      for (std::uint32_t has = holders + coming; has < desired; ++has) {
+        wants.push_back({ model, load / (1.0 + has), false });
+      }
     }
-    wants.push_back({ model, demand.weight_ / (1.0 + holders) });
   }
   std::ranges::sort(wants, [](const Want& aLeft, const Want& aRight) {
     return aLeft.weight_ > aRight.weight_;
   });
   for (const Want& want : wants) {
-    const auto candidate = BestServer(want.model_, aNow, true);
+    const auto candidate = BestServer(want.model_, aNow, want.urgent_);
     if (!candidate) {
       continue;
     }
@@ -511,7 +535,7 @@
 void
 ModelPlacement::PlanPrefetch(core::MonotonicTime aNow)
 {
-  if (StoreLoads() >= kStoreLoadsAtOnce) {
+  if (StoreLoads() >= kPrefetchesAtOnce) {
     return;
   }
   std::set<core::ModelName> known;
@@ -638,6 +662,27 @@
   return usable;
 }
 
+std::string
+ModelPlacement::Summary(std::size_t aModels) const
+{
+  std::vector<std::pair<std::uint32_t, core::ModelName>> busiest;
+  for (const auto& [model, demand] : byModel_) {
+    busiest.emplace_back(demand.waiting_ + demand.inFlight_, model);
+  }
+  std::ranges::sort(busiest, std::greater());
+  std::string text;
+  for (std::size_t i = 0; i < std::min(aModels, busiest.size()); ++i) {
+    const core::ModelName& model = busiest[i].second;
+    const ModelDemand demand = DemandOf(model);
+    text += (text.empty() ? "" : " ") + model.Value() + ":" +
+            std::to_string(demand.waiting_) + "w" +
+            std::to_string(demand.inFlight_) + "r" +
+            std::to_string(Holders(model)) + "h" +
+            std::to_string(ComingTo(model)) + "c";
+  }
+  return text;
+}
+
 std::map<core::ModelName, core::MonotonicTime>
 ModelPlacement::Coming() const
 {
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -96,7 +96,8 @@
   void OnCopies(const core::ServerId& aServer, EngineCopies aCopies);
   /// Models that run on the server at present.
   void OnActive(const core::ServerId& aServer,
-                std::set<core::ModelName> aActive);
+                std::set<core::ModelName> aActive,
+                std::uint32_t aInFlight);
   /// Replaces the demand for all models.
   void OnDemand(const std::map<core::ModelName, ModelDemand>& aDemand,
                 core::MonotonicTime aNow);
@@ -110,6 +111,8 @@
 
   /// Models and adapters that requests may be sent to, "MODEL/ADAPTER".
   std::set<core::ModelName> Usable(const core::ServerId& aServer) const;
+  /// The models with most requests, with their requests and replicas, for logs.
+  std::string Summary(std::size_t aModels) const;
   /// When each model that is being loaded should be there.
   std::map<core::ModelName, core::MonotonicTime> Coming() const;
 
@@ -125,6 +128,7 @@
     ServiceName service_;
     std::map<core::ModelName, Held> models_;
     std::set<core::ModelName> active_;
+    std::uint32_t inFlight_ = 0;
     EngineCopies copies_;
     /// Orders that must follow each other; the first is under way.
     std::vector<PlacementOrder> plan_;
@@ -138,7 +142,6 @@
     /// Arrivals a second, smoothed.
     double rate_ = 0;
     core::MonotonicTime lastUsed_;
-    std::optional<core::MonotonicTime> waitingSince_;
   };
   struct Candidate
   {
@@ -160,9 +163,10 @@
                                      WeightTier aTier) const;
   std::uint32_t Holders(const core::ModelName& aModel) const;
   std::uint32_t ComingTo(const core::ModelName& aModel) const;
-  double Regret(const Server& aServer,
-                const core::ModelName& aModel,
-                core::MonotonicTime aNow) const;
+  ModelDemand DemandOf(const core::ModelName& aModel) const;
+  std::optional<double> Regret(const Server& aServer,
+                               const core::ModelName& aModel,
+                               core::MonotonicTime aNow) const;
   std::optional<Candidate> BestServer(const core::ModelName& aModel,
                                       core::MonotonicTime aNow,
                                       bool aUrgent) const;
@@ -182,6 +186,8 @@
   std::map<ServiceName, EngineLimits> limits_;
   std::map<core::ServerId, Server> servers_;
   std::map<core::ModelName, Need> needs_;
+  /// Models in use, with their adapters' requests.
+  std::map<core::ModelName, ModelDemand> byModel_;
   core::MonotonicTime demandAt_;
   /// Store loads that may begin now.
   double storeTokens_ = 0;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -35,7 +35,7 @@
 constexpr std::chrono::milliseconds kNoServerWait{ 500 };
 /// Time that must be left after a place is found: a stream can't begin, nor a
 /// plain request run, in less.
-constexpr std::chrono::milliseconds kStreamReserve{ 700 };
+constexpr std::chrono::milliseconds kStreamReserve{ 400 };
 constexpr std::chrono::milliseconds kPlainReserve{ 20 };
 /// Silence within a stream after which it goes on at another server.
 constexpr std::chrono::milliseconds kStreamSilence{ 1200 };
@@ -133,6 +133,9 @@
   WatchCaller();
   co_await Forward();
   finished_ = true;
+  if (served_) {
+    LogEnd("served");
+  }
   link_->CancelWait();
   co_return keep_ && !gone_;
 }
@@ -310,9 +313,11 @@
   if (fit == Fit::NoServer) {
     return std::min(deadline_ - kPlainReserve, now + kNoServerWait);
   }
-  const core::MonotonicTime latest =
-    deadline_ -
-    (route_->kind_ == RequestKind::Stream ? kStreamReserve : kPlainReserve);
+  core::MonotonicTime latest = deadline_ - kPlainReserve;
+  if (route_->kind_ == RequestKind::Stream) {
+    // The caller leaves when the first event takes longer than its patience.
+    latest = std::min(deadline_, begin_ + route_->patience_) - kStreamReserve;
+  }
   const auto coming = gateway_.coming_.find(need_.model_);
   const bool tooLate = fit == Fit::NoModel &&
                        coming != gateway_.coming_.end() &&
@@ -373,6 +378,8 @@
   ticket_.reset();
   choice_ = aChoice;
   placed_ = true;
+  placedAfter_ = gateway_.clock_.Now() - begin_;
+  loadAtChoice_ = gateway_.view_.LoadOf(aChoice.server_);
   timer_.cancel();
 }
 
@@ -442,9 +449,12 @@
   if (last) {
     return left;
   }
-  return std::min<core::Duration>(
-    left,
-    std::max<core::Duration>(route_->objective_ * kSlowFactor, kLeastSlow));
+  core::Duration slow =
+    std::max<core::Duration>(route_->objective_ * kSlowFactor, kLeastSlow);
+  if (route_->kind_ == RequestKind::Stream) {
+    slow = std::max<core::Duration>(slow, route_->patience_ / 2);
+  }
+  return std::min(left, slow);
 }
 
 Task<std::unique_ptr<ServerLink>>
@@ -473,6 +483,7 @@
 Task<GatewayCall::Next>
 GatewayCall::Attempt()
 {
+  sendFirst_ = true;
   auto link = co_await Open();
   if (!link) {
     need_.tried_.insert(choice_.server_);
@@ -624,6 +635,7 @@
                                        std::move(body) };
     co_return Next::RetryMaybeRun;
   }
+  served_ = true;
   answer.body() = std::move(body);
   answer.keep_alive(keep_ && !gateway_.draining_);
   answer.prepare_payload();
@@ -685,6 +697,10 @@
       break;
     }
     if (!ready.empty()) {
+      if (std::exchange(sendFirst_, false)) {
+        gateway_.view_.OnFirstEvent(choice_.server_);
+      }
+      NoteEvents();
       std::array<char, 20> size{};
       std::snprintf(size.data(), size.size(), "%zx\r\n", ready.size());
       std::string chunk = size.data();
@@ -705,6 +721,7 @@
   }
   if (whole) {
     Finish(SendOutcome::Served);
+    served_ = true;
     keep_ = co_await link_->WriteRaw("0\r\n\r\n") && keep_;
     co_return Next::Done;
   }
@@ -727,11 +744,26 @@
 void
 GatewayCall::Finish(SendOutcome aOutcome)
 {
+  if (std::exchange(sendFirst_, false)) {
+    gateway_.view_.OnFirstEvent(choice_.server_);
+  }
   gateway_.view_.OnFinish(
     choice_.server_, need_.tokens_, aOutcome, gateway_.clock_.Now());
   gateway_.AssignPlaces();
 }
 
+void
+GatewayCall::NoteEvents()
+{
+  const core::MonotonicTime now = gateway_.clock_.Now();
+  if (firstAfter_ == core::Duration(0)) {
+    firstAfter_ = now - begin_;
+  } else {
+    longestPause_ = std::max(longestPause_, now - lastEventAt_);
+  }
+  lastEventAt_ = now;
+}
+
 void
 GatewayCall::NoteCrash()
 {
@@ -787,7 +819,12 @@
             { { "request", id_ },
               { "route", route_ == nullptr ? "" : route_->name_ },
               { "server", choice_.server_.Value() },
+              { "model", need_.model_.Value() },
               { "sends", std::to_string(sends_) },
+              { "placed_ms", std::to_string(Milliseconds(placedAfter_)) },
+              { "first_ms", std::to_string(Milliseconds(firstAfter_)) },
+              { "longest_pause_ms", std::to_string(Milliseconds(longestPause_)) },
+              { "load", std::to_string(loadAtChoice_) },
               { "age_ms",
                 std::to_string(
                   Milliseconds(gateway_.clock_.Now() - begin_)) } });
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -62,6 +62,7 @@
   bool MayRepeat(Next aNext);
   void Finish(coordination::SendOutcome aOutcome);
   void NoteCrash();
+  void NoteEvents();
   transport::Task<void> Refuse(GatewayRefusal aReason,
                                unsigned aStatus,
                                std::optional<core::Duration> aRetryAfter);
@@ -95,6 +96,14 @@
   std::uint32_t refusals_ = 0;
   std::uint32_t unsent_ = 0;
   core::MonotonicTime sentAt_;
+  /// The first event of the send under way is still to come.
+  bool sendFirst_ = false;
+  bool served_ = false;
+  core::Duration placedAfter_{ 0 };
+  core::Duration firstAfter_{ 0 };
+  core::Duration longestPause_{ 0 };
+  core::MonotonicTime lastEventAt_;
+  std::uint32_t loadAtChoice_ = 0;
 
   /// Of a stream: the head has been written, and the last event passed on.
   bool streaming_ = false;
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -1969,6 +1969,10 @@
 void JoinAnswer::__set_members(const std::vector<std::string> & val) {
   this->members = val;
 }
+
+void JoinAnswer::__set_memberIds(const std::vector<int32_t> & val) {
+  this->memberIds = val;
+}
 std::ostream& operator<<(std::ostream& out, const JoinAnswer& obj)
 {
   obj.printTo(out);
@@ -2041,6 +2045,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->memberIds.clear();
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->memberIds.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
+            {
+              xfer += iprot->readI32(this->memberIds[_i91]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.memberIds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2073,10 +2097,22 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter87;
-    for (_iter87 = this->members.begin(); _iter87 != this->members.end(); ++_iter87)
+    std::vector<std::string> ::const_iterator _iter92;
+    for (_iter92 = this->members.begin(); _iter92 != this->members.end(); ++_iter92)
+    {
+      xfer += oprot->writeString((*_iter92));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
+    std::vector<int32_t> ::const_iterator _iter93;
+    for (_iter93 = this->memberIds.begin(); _iter93 != this->memberIds.end(); ++_iter93)
     {
-      xfer += oprot->writeString((*_iter87));
+      xfer += oprot->writeI32((*_iter93));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2093,22 +2129,25 @@
   swap(a.leaderAddress, b.leaderAddress);
   swap(a.member, b.member);
   swap(a.members, b.members);
+  swap(a.memberIds, b.memberIds);
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other88) {
-  leader = other88.leader;
-  leaderAddress = other88.leaderAddress;
-  member = other88.member;
-  members = other88.members;
-  __isset = other88.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other89) {
-  leader = other89.leader;
-  leaderAddress = other89.leaderAddress;
-  member = other89.member;
-  members = other89.members;
-  __isset = other89.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other94) {
+  leader = other94.leader;
+  leaderAddress = other94.leaderAddress;
+  member = other94.member;
+  members = other94.members;
+  memberIds = other94.memberIds;
+  __isset = other94.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other95) {
+  leader = other95.leader;
+  leaderAddress = other95.leaderAddress;
+  member = other95.member;
+  members = other95.members;
+  memberIds = other95.memberIds;
+  __isset = other95.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
@@ -2118,6 +2157,7 @@
   out << ", " << "leaderAddress=" << to_string(leaderAddress);
   out << ", " << "member=" << to_string(member);
   out << ", " << "members=" << to_string(members);
+  out << ", " << "memberIds=" << to_string(memberIds);
   out << ")";
 }
 
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -716,11 +716,12 @@
 std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
 
 typedef struct _JoinAnswer__isset {
-  _JoinAnswer__isset() : leader(false), leaderAddress(false), member(false), members(false) {}
+  _JoinAnswer__isset() : leader(false), leaderAddress(false), member(false), members(false), memberIds(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool member :1;
   bool members :1;
+  bool memberIds :1;
 } _JoinAnswer__isset;
 
 class JoinAnswer : public virtual ::apache::thrift::TBase {
@@ -739,6 +740,7 @@
   std::string leaderAddress;
   int32_t member;
   std::vector<std::string>  members;
+  std::vector<int32_t>  memberIds;
 
   _JoinAnswer__isset __isset;
 
@@ -750,6 +752,8 @@
 
   void __set_members(const std::vector<std::string> & val);
 
+  void __set_memberIds(const std::vector<int32_t> & val);
+
   bool operator == (const JoinAnswer & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -760,6 +764,8 @@
       return false;
     if (!(members == rhs.members))
       return false;
+    if (!(memberIds == rhs.memberIds))
+      return false;
     return true;
   }
   bool operator != (const JoinAnswer &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -90,6 +90,7 @@
   2: string leaderAddress
   3: i32 member          // 0: not a member at present
   4: list<string> members
+  5: list<i32> memberIds  // in the order of members
 }
 
 service Fleet {
