Give orders only to servers whose own report was read

Change: a server gets orders only after its own report was taken; a foreign sequence or a failed order makes it unknown again.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -184,12 +184,6 @@
             usable.insert(server.server_);
             placement_.AddServer(server.server_, server.service_);
             placement_.OnContent(server.server_, server.content_, now);
-            // What it has copies of is known from its own report only.
-            if (!engines_[server.server_].sequence_) {
-              transport::Spawn(loop_, [this, id = server.server_, term] {
-                return Refresh(id, term);
-              });
-            }
           } else {
             placement_.RemoveServer(server.server_);
             engines_.erase(server.server_);
@@ -205,6 +199,10 @@
             table_.SetMemory(id, limits->second.memoryTokens_);
           }
         }
+        for (const core::ServerId& id : placement_.Unknown()) {
+          transport::Spawn(loop_,
+                           [this, id, term] { return Refresh(id, term); });
+        }
         listed_ = listed_ || !limits_.empty();
         ShowModels();
         changed_.notify_all();
@@ -416,9 +414,14 @@
       case OrderReply::Conflict: {
         // Mostly the order before is still under way; else the sequence is not
         // the one that was assumed.
-        if (++conflicts % kConflictsToRead == 0) {
-          const std::lock_guard lock(mutex_);
-          engines_[aOrder.server_].sequence_.reset();
+        if (++conflicts % kConflictsToRead != 0) {
+          break;
+        }
+        const auto report = co_await Report(aOrder.server_);
+        if (!report || report->sequence_ != *sequence) {
+          // Somebody else's order: what the server holds is not what this one
+          // was planned on.
+          co_return false;
         }
         break;
       }
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -84,7 +84,9 @@
       aNow < found->second.changedAt_ + kListLag) {
     return;
   }
-  Take(found->second, aContent);
+  if (Take(found->second, aContent)) {
+    found->second.known_ = false;
+  }
 }
 
 void
@@ -97,19 +99,36 @@
   }
   found->second.plan_.clear();
   Take(found->second, aContent);
+  found->second.known_ = true;
 }
 
-void
+std::vector<core::ServerId>
+ModelPlacement::Unknown() const
+{
+  std::vector<core::ServerId> unknown;
+  for (const auto& [id, server] : servers_) {
+    if (!server.known_ && server.plan_.empty()) {
+      unknown.push_back(id);
+    }
+  }
+  return unknown;
+}
+
+bool
 ModelPlacement::Take(Server& aServer, const EngineContent& aContent)
 {
+  bool differs = aServer.models_.size() != aContent.models_.size();
   std::map<core::ModelName, Held> models;
   for (const auto& [model, adapters] : aContent.models_) {
     const auto before = aServer.models_.find(model);
     Held held = before == aServer.models_.end() ? Held{} : before->second;
+    differs = differs || before == aServer.models_.end() ||
+              held.adapters_ != adapters;
     held.adapters_ = adapters;
     models.emplace(model, std::move(held));
   }
   aServer.models_ = std::move(models);
+  return differs;
 }
 
 void
@@ -326,7 +345,7 @@
                      bool aUrgent) const
 {
   const EngineLimits* limits = LimitsOf(aServer);
-  if (limits == nullptr || !aServer.plan_.empty() ||
+  if (limits == nullptr || !aServer.known_ || !aServer.plan_.empty() ||
       aServer.models_.contains(aModel) || !limits->models_.contains(aModel)) {
     return std::nullopt;
   }
@@ -473,7 +492,8 @@
     for (const auto& [model, other] : server.models_) {
       adapters += other.adapters_.size();
     }
-    if (server.plan_.empty() && (best == nullptr || adapters < fewest)) {
+    if (server.known_ && server.plan_.empty() &&
+        (best == nullptr || adapters < fewest)) {
       best = &server;
       bestId = id;
       fewest = adapters;
@@ -614,6 +634,7 @@
   if (!aCarriedOut) {
     // What follows was planned on its effect.
     server.plan_.clear();
+    server.known_ = false;
     return;
   }
   if (!server.plan_.empty()) {
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -86,7 +86,8 @@
   void AddServer(const core::ServerId& aServer, const ServiceName& aService);
   /// A server that leaves or is gone.
   void RemoveServer(const core::ServerId& aServer);
-  /// What the server holds; not taken while an order is under way there.
+  /// What the platform's list says that the server holds; it lags, so that it
+  /// isn't taken while an order is under way there or was lately.
   void OnContent(const core::ServerId& aServer,
                  const EngineContent& aContent,
                  core::MonotonicTime aNow);
@@ -109,6 +110,8 @@
                    bool aCarriedOut,
                    core::MonotonicTime aNow);
 
+  /// Servers whose own report has to be read before they may get orders.
+  std::vector<core::ServerId> Unknown() const;
   /// Models and adapters that requests may be sent to, "MODEL/ADAPTER".
   std::set<core::ModelName> Usable(const core::ServerId& aServer) const;
   /// The models with most requests, with their requests and replicas, for logs.
@@ -133,6 +136,10 @@
     /// Orders that must follow each other; the first is under way.
     std::vector<PlacementOrder> plan_;
     bool underWay_ = false;
+    /// What it holds was read from the server itself and nothing has cast doubt
+    /// on it since. Only then may it get orders: one that overfills a server
+    /// crashes it.
+    bool known_ = false;
     core::MonotonicTime changedAt_;
     core::MonotonicTime readyAt_;
   };
@@ -151,7 +158,8 @@
     double cost_ = 0;
   };
 
-  static void Take(Server& aServer, const EngineContent& aContent);
+  /// Whether it differed from what was assumed.
+  static bool Take(Server& aServer, const EngineContent& aContent);
   const EngineLimits* LimitsOf(const Server& aServer) const;
   std::uint32_t UsedMb(const Server& aServer, const EngineLimits& aLimits) const;
   std::uint32_t SizeMb(const EngineLimits& aLimits,
