--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -29,7 +29,7 @@
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
   "no_routes_yet", "no_route",       "no_server",   "no_model",
   "full",          "deadline_over",  "quarantined", "not_run_elsewhere",
-  "broken",        "malformed",
+  "broken",        "malformed",      "draining",
 };
 
 } // namespace
@@ -239,6 +239,10 @@
   if (std::exchange(draining_, true)) {
     return;
   }
+  waitUntil_ = clock_.Now() + kAcceptAfterTerm;
+  for (const auto& [id, call] : waiting_) {
+    call->Recheck();
+  }
   core::Log(core::LogLevel::Info,
             "draining",
             { { "calls", std::to_string(calls_) } });
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -36,8 +36,9 @@
   NotRunElsewhere,
   Broken,
   Malformed,
+  Draining,
 };
-inline constexpr std::size_t kGatewayRefusals = 10;
+inline constexpr std::size_t kGatewayRefusals = 11;
 const char*
 NameOf(GatewayRefusal aReason);
 
@@ -125,6 +126,8 @@
   std::set<LinkPtr> links_;
   std::uint32_t calls_ = 0;
   bool draining_ = false;
+  /// While draining: when requests that still wait for a place are refused.
+  core::MonotonicTime waitUntil_;
   std::unique_ptr<transport::LinkListener> callers_;
   std::unique_ptr<transport::LinkListener> readiness_;
   FleetLink fleet_;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -318,6 +318,10 @@
     // The caller leaves when the first event takes longer than its patience.
     latest = std::min(deadline_, begin_ + route_->patience_) - kStreamReserve;
   }
+  if (gateway_.draining_) {
+    // This process ends soon; another host can still find a place.
+    latest = std::min(latest, gateway_.waitUntil_);
+  }
   const auto coming = gateway_.coming_.find(need_.model_);
   const bool tooLate = fit == Fit::NoModel &&
                        coming != gateway_.coming_.end() &&
@@ -405,6 +409,10 @@
   } else if (fit == Fit::Full) {
     reason = GatewayRefusal::Full;
   }
+  if (gateway_.draining_) {
+    reason = GatewayRefusal::Draining;
+    retryAfter = core::Duration(0);
+  }
   co_await Refuse(reason, runs_ > 0 ? 502 : 503, retryAfter);
 }
 
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -27,6 +27,8 @@
   transport::Task<bool> Run();
   /// A place was found; called by the gateway.
   void Grant(const coordination::Choice& aChoice);
+  /// The time until which it may wait has changed.
+  void Recheck() { timer_.cancel(); }
   const coordination::BackendNeed& Need() const { return need_; }
 
 private:
