--- a/control/BackendPort.hpp
+++ b/control/BackendPort.hpp
@@ -52,8 +52,7 @@
 {
 public:
   virtual ~BackendPort() = default;
-  virtual transport::Task<
-    core::Result<std::vector<coordination::ListedServer>>>
+  virtual transport::Task<core::Result<std::vector<coordination::ListedServer>>>
   ReadList() = 0;
   virtual transport::Task<core::Result<EngineReport>> ReadReport(
     std::string aAddress,
--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -214,11 +214,13 @@
     }
     const core::Duration spent = clock_.Now() - begin;
     const bool first = !listed_;
-    const core::Duration interval = first ? core::Duration(kIdleInterval * 2)
-                                          : core::Duration(settings_.listInterval_);
+    const core::Duration interval = first
+                                      ? core::Duration(kIdleInterval * 2)
+                                      : core::Duration(settings_.listInterval_);
     co_await transport::Sleep(
       timer,
-      std::max<core::Duration>(interval - spent, std::chrono::milliseconds(50)));
+      std::max<core::Duration>(interval - spent,
+                               std::chrono::milliseconds(50)));
   }
 }
 
@@ -280,8 +282,8 @@
         orders = Decide();
       }
       for (const PlacementOrder& order : orders) {
-        transport::Spawn(
-          loop_, [this, order, term] { return RunOrder(order, term); });
+        transport::Spawn(loop_,
+                         [this, order, term] { return RunOrder(order, term); });
       }
     }
     co_await transport::Sleep(timer, leads ? kDecideInterval : kIdleInterval);
@@ -323,15 +325,15 @@
   const core::MonotonicTime begin = clock_.Now();
   const bool done = co_await CarryOut(aOrder, aTerm);
   const core::MonotonicTime now = clock_.Now();
-  core::Log(core::LogLevel::Info,
-            done ? "order carried out" : "order given up",
-            { { "server", aOrder.server_.Value() },
-              { "verb",
-                aOrder.verb_ == PlacementVerb::Load ? "load" : "unload" },
-              { "model", aOrder.model_.Value() },
-              { "adapter", aOrder.adapter_ },
-              { "from", NameOf(aOrder.tier_) },
-              { "took_ms", std::to_string(Milliseconds(now - begin)) } });
+  core::Log(
+    core::LogLevel::Info,
+    done ? "order carried out" : "order given up",
+    { { "server", aOrder.server_.Value() },
+      { "verb", aOrder.verb_ == PlacementVerb::Load ? "load" : "unload" },
+      { "model", aOrder.model_.Value() },
+      { "adapter", aOrder.adapter_ },
+      { "from", NameOf(aOrder.tier_) },
+      { "took_ms", std::to_string(Milliseconds(now - begin)) } });
   {
     const std::lock_guard lock(mutex_);
     if (term_ != aTerm) {
@@ -504,9 +506,8 @@
     }
     const core::ServerId server(use.server);
     if (!use.missing.empty()) {
-      transport::Spawn(loop_, [this, server, term = term_] {
-        return Refresh(server, term);
-      });
+      transport::Spawn(
+        loop_, [this, server, term = term_] { return Refresh(server, term); });
     }
     uses[server] = std::move(out);
   }
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -28,9 +28,8 @@
 };
 
 /// Reads the limits of services out of the published table of routes.
-using ReadServices =
-  std::function<core::Result<std::map<coordination::ServiceName,
-                                      coordination::EngineLimits>>(
+using ReadServices = std::function<
+  core::Result<std::map<coordination::ServiceName, coordination::EngineLimits>>(
     const std::string&)>;
 
 /// While this process leads: reads the platform's list, merges the reports of
--- a/control/GroupHost.cpp
+++ b/control/GroupHost.cpp
@@ -34,11 +34,8 @@
   state::GroupMembers members;
   for (const std::string& seed : aSeeds) {
     const core::MemberId id = members.highestId_.Next();
-    members.members_.push_back({ id,
-                                 seed,
-                                 core::FailureDomainId(),
-                                 state::MemberRole::Voter,
-                                 "" });
+    members.members_.push_back(
+      { id, seed, core::FailureDomainId(), state::MemberRole::Voter, "" });
     members.highestId_ = id;
   }
   return members;
@@ -218,11 +215,8 @@
   settings.raft_.cluster_ = settings_.cluster_;
   settings.raft_.group_ = kGroup;
   settings.raft_.self_ = aMember;
-  auto peers = std::make_shared<Peers>(settings_.cluster_,
-                                       kGroup,
-                                       aMember,
-                                       transport::TlsFiles{},
-                                       kCallTimeout);
+  auto peers = std::make_shared<Peers>(
+    settings_.cluster_, kGroup, aMember, transport::TlsFiles{}, kCallTimeout);
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [id, address] : addresses_) {
@@ -428,8 +422,7 @@
     return;
   }
   leaderSeen_ = now;
-  const wire::JoinAnswer answer =
-    Ask(static_cast<std::int32_t>(self_.Value()));
+  const wire::JoinAnswer answer = Ask(static_cast<std::int32_t>(self_.Value()));
   if (!answer.leader || answer.member != 0) {
     return;
   }
@@ -468,8 +461,8 @@
     contacts_.clear();
   }
   for (const FollowerContact& follower : aStatus.followers_) {
-    const auto [entry, isNew] =
-      contacts_.try_emplace(follower.member_, coordination::MemberContact{ now, {} });
+    const auto [entry, isNew] = contacts_.try_emplace(
+      follower.member_, coordination::MemberContact{ now, {} });
     if (follower.answered_) {
       entry->second.heard_ =
         std::max(entry->second.heard_, *follower.answered_);
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -94,8 +94,8 @@
   if (row.memoryTokens_ > 0) {
     // Each run makes the batch slower; each prompt that is being read holds up
     // all streams of the server.
-    score = 1 + inFlight / kRunsPerPenalty +
-            kBeginningPenalty * aServer.beginning_;
+    score =
+      1 + inFlight / kRunsPerPenalty + kBeginningPenalty * aServer.beginning_;
   } else {
     const double slots = row.slots_ == 0 ? 1.0 : row.slots_;
     const double latency =
@@ -143,8 +143,7 @@
       continue;
     }
     // A little chance keeps hosts with equal pictures apart.
-    const double score =
-      Score(server, aNow) * (0.9 + 0.2 * aRandom.Uniform());
+    const double score = Score(server, aNow) * (0.9 + 0.2 * aRandom.Uniform());
     if (best == nullptr || score < bestScore) {
       best = &server;
       bestScore = score;
@@ -203,8 +202,8 @@
   // A connection that can't be made says more than one failed answer.
   if (aOutcome == SendOutcome::Unreachable ||
       server.failuresInRow_ >= kFailuresToLeaveOut) {
-    server.outFor_ = std::clamp<core::Duration>(
-      server.outFor_ * 2, kFirstOut, kLongestOut);
+    server.outFor_ =
+      std::clamp<core::Duration>(server.outFor_ * 2, kFirstOut, kLongestOut);
     server.outUntil_ = aNow + server.outFor_;
   }
 }
@@ -253,7 +252,8 @@
 }
 
 std::uint32_t
-BackendView::FreePlaces(const BackendNeed& aNeed, core::MonotonicTime aNow) const
+BackendView::FreePlaces(const BackendNeed& aNeed,
+                        core::MonotonicTime aNow) const
 {
   std::uint32_t free = 0;
   for (const auto& [id, server] : servers_) {
@@ -291,9 +291,9 @@
 BackendView::LoadOf(const core::ServerId& aServer) const
 {
   const auto found = servers_.find(aServer);
-  return found == servers_.end() ? 0
-                                 : found->second.row_.othersInFlight_ +
-                                     found->second.use_.inFlight_;
+  return found == servers_.end()
+           ? 0
+           : found->second.row_.othersInFlight_ + found->second.use_.inFlight_;
 }
 
 const BackendRow*
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -157,14 +157,13 @@
     const auto evidence = evidence_.find(id);
     if (evidence != evidence_.end()) {
       const Evidence& seen = evidence->second;
-      const double age =
-        std::chrono::duration<double>(aNow - seen.at_).count();
+      const double age = std::chrono::duration<double>(aNow - seen.at_).count();
       const double failures =
         seen.failures_ * std::exp2(-age / kEvidenceHalfLifeS);
       // One host's trouble may be its own.
-      suspect = seen.failedFor_.size() > 1 && failures >= kSuspectFailures &&
-                seen.failures_ >
-                  kSuspectShare * (seen.failures_ + seen.successes_);
+      suspect =
+        seen.failedFor_.size() > 1 && failures >= kSuspectFailures &&
+        seen.failures_ > kSuspectShare * (seen.failures_ + seen.successes_);
     }
     const double tokenStep =
       std::max<double>(1, static_cast<double>(row.row_.memoryTokens_) / 50);
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -122,8 +122,8 @@
   for (const auto& [model, adapters] : aContent.models_) {
     const auto before = aServer.models_.find(model);
     Held held = before == aServer.models_.end() ? Held{} : before->second;
-    differs = differs || before == aServer.models_.end() ||
-              held.adapters_ != adapters;
+    differs =
+      differs || before == aServer.models_.end() || held.adapters_ != adapters;
     held.adapters_ = adapters;
     models.emplace(model, std::move(held));
   }
@@ -276,8 +276,8 @@
   for (const auto& [id, server] : servers_) {
     loads += static_cast<std::uint32_t>(
       std::ranges::count_if(server.plan_, [](const PlacementOrder& aOrder) {
-        return aOrder.verb_ == PlacementVerb::Load &&
-               aOrder.adapter_.empty() && aOrder.tier_ == WeightTier::Store;
+        return aOrder.verb_ == PlacementVerb::Load && aOrder.adapter_.empty() &&
+               aOrder.tier_ == WeightTier::Store;
       }));
   }
   return loads;
@@ -509,19 +509,19 @@
   }
   // The adapter that was used least recently makes room.
   const bool slotsFull = fewest >= limits->adapterSlots_;
-  const bool memoryFull = UsedMb(*best, *limits) + size->second.adapterMb_ >
-                          limits->weightsMb_;
+  const bool memoryFull =
+    UsedMb(*best, *limits) + size->second.adapterMb_ > limits->weightsMb_;
   if (slotsFull || memoryFull) {
     const core::ModelName* model = nullptr;
     const std::string* adapter = nullptr;
     core::MonotonicTime oldest = core::MonotonicTime::max();
     for (const auto& [name, held] : best->models_) {
       for (const std::string& other : held.adapters_) {
-        const auto use = needs_.find(
-          core::ModelName(name.Value() + "/" + other));
+        const auto use =
+          needs_.find(core::ModelName(name.Value() + "/" + other));
         const bool needed =
-          use != needs_.end() && (use->second.now_.inFlight_ > 0 ||
-                                  use->second.now_.waiting_ > 0);
+          use != needs_.end() &&
+          (use->second.now_.inFlight_ > 0 || use->second.now_.waiting_ > 0);
         const core::MonotonicTime used =
           use == needs_.end() ? core::MonotonicTime() : use->second.lastUsed_;
         if (!needed && used < oldest) {
@@ -642,8 +642,7 @@
   }
   if (!aOrder.adapter_.empty()) {
     const auto held = server.models_.find(aOrder.model_);
-    if (held != server.models_.end() &&
-        aOrder.verb_ == PlacementVerb::Load) {
+    if (held != server.models_.end() && aOrder.verb_ == PlacementVerb::Load) {
       held->second.adapters_.insert(aOrder.adapter_);
     }
     return;
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -92,8 +92,7 @@
                  const EngineContent& aContent,
                  core::MonotonicTime aNow);
   /// What the server certainly holds now; drops what was planned there.
-  void SetContent(const core::ServerId& aServer,
-                  const EngineContent& aContent);
+  void SetContent(const core::ServerId& aServer, const EngineContent& aContent);
   void OnCopies(const core::ServerId& aServer, EngineCopies aCopies);
   /// Models that run on the server at present.
   void OnActive(const core::ServerId& aServer,
@@ -161,7 +160,8 @@
   /// Whether it differed from what was assumed.
   static bool Take(Server& aServer, const EngineContent& aContent);
   const EngineLimits* LimitsOf(const Server& aServer) const;
-  std::uint32_t UsedMb(const Server& aServer, const EngineLimits& aLimits) const;
+  std::uint32_t UsedMb(const Server& aServer,
+                       const EngineLimits& aLimits) const;
   std::uint32_t SizeMb(const EngineLimits& aLimits,
                        const core::ModelName& aModel,
                        const Held* aHeld) const;
--- a/entry/FleetLink.cpp
+++ b/entry/FleetLink.cpp
@@ -129,8 +129,8 @@
   while (true) {
     auto request = std::make_shared<std::promise<wire::SyncRequest>>();
     auto ready = request->get_future();
-    transport::asio::post(
-      loop_, [this, request] { request->set_value(report_()); });
+    transport::asio::post(loop_,
+                          [this, request] { request->set_value(report_()); });
     while (ready.wait_for(kInterval) != std::future_status::ready) {
       const std::lock_guard lock(mutex_);
       if (stopping_) {
@@ -143,10 +143,10 @@
     const core::Status called = rpc.Call(
       [&](wire::FleetClient& aClient) { aClient.sync(reply, message); });
     if (!called.Ok()) {
-      core::Log(core::LogLevel::Info,
-                "control process lost",
-                { { "address", aAddress },
-                  { "reason", called.Failure().Message() } });
+      core::Log(
+        core::LogLevel::Info,
+        "control process lost",
+        { { "address", aAddress }, { "reason", called.Failure().Message() } });
       return false;
     }
     if (!reply.leader) {
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -27,9 +27,9 @@
 constexpr std::chrono::milliseconds kDrainStep{ 50 };
 
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
-  "no_routes_yet", "no_route",       "no_server",   "no_model",
-  "full",          "deadline_over",  "quarantined", "not_run_elsewhere",
-  "broken",        "malformed",      "draining",
+  "no_routes_yet", "no_route",      "no_server",   "no_model",
+  "full",          "deadline_over", "quarantined", "not_run_elsewhere",
+  "broken",        "malformed",     "draining",
 };
 
 } // namespace
@@ -83,15 +83,15 @@
 {
   callers_ = std::make_unique<transport::LinkListener>(
     loop_, settings_.callers_, [this](transport::Tcp::socket aSocket) {
-      auto link = std::make_shared<transport::CallerLink>(std::move(aSocket),
-                                                          Limits());
+      auto link =
+        std::make_shared<transport::CallerLink>(std::move(aSocket), Limits());
       links_.insert(link);
       transport::Spawn(loop_, [this, link] { return ServeCaller(link); });
     });
   readiness_ = std::make_unique<transport::LinkListener>(
     loop_, settings_.readiness_, [this](transport::Tcp::socket aSocket) {
-      auto link = std::make_shared<transport::CallerLink>(std::move(aSocket),
-                                                          Limits());
+      auto link =
+        std::make_shared<transport::CallerLink>(std::move(aSocket), Limits());
       transport::Spawn(loop_, [this, link] { return ServeReadiness(link); });
     });
   core::Status started = callers_->Start();
@@ -180,8 +180,7 @@
     counters_->requests_.Add();
     const bool wantsKeep = request.keep_alive();
     ++calls_;
-    auto call =
-      std::make_shared<GatewayCall>(*this, aLink, std::move(request));
+    auto call = std::make_shared<GatewayCall>(*this, aLink, std::move(request));
     keep = co_await call->Run() && wantsKeep && !draining_;
     --calls_;
   }
@@ -243,9 +242,8 @@
   for (const auto& [id, call] : waiting_) {
     call->Recheck();
   }
-  core::Log(core::LogLevel::Info,
-            "draining",
-            { { "calls", std::to_string(calls_) } });
+  core::Log(
+    core::LogLevel::Info, "draining", { { "calls", std::to_string(calls_) } });
   transport::Spawn(loop_, [this] { return EndAfterGrace(); });
 }
 
@@ -259,8 +257,7 @@
   for (const LinkPtr& link : links_) {
     link->EndIdle();
   }
-  while (calls_ > 0 &&
-         clock_.Now() < begin + settings_.grace_ - kBeforeKill) {
+  while (calls_ > 0 && clock_.Now() < begin + settings_.grace_ - kBeforeKill) {
     co_await transport::Sleep(timer, kDrainStep);
   }
   core::Log(core::LogLevel::Info,
@@ -387,8 +384,7 @@
 {
   LearnRoutes(aReply);
   LearnRows(aReply);
-  if (aReply.hosts > 0 &&
-      hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
+  if (aReply.hosts > 0 && hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
     hosts_ = static_cast<std::uint32_t>(aReply.hosts);
     for (auto& [service, budget] : budgets_) {
       budget.SetHosts(hosts_);
@@ -421,8 +417,8 @@
                 { "reason", routes.Failure().Message() } });
     return;
   }
-  routes_ = std::make_shared<const coordination::RouteTable>(
-    std::move(routes.Value()));
+  routes_ =
+    std::make_shared<const coordination::RouteTable>(std::move(routes.Value()));
   core::Log(core::LogLevel::Info,
             "routes in force",
             { { "version", std::to_string(routes_->Version()) },
@@ -461,8 +457,7 @@
     for (const std::string& model : row.models) {
       out.models_.insert(core::ModelName(model));
     }
-    out.othersInFlight_ =
-      static_cast<std::uint32_t>(std::max(0, row.inFlight));
+    out.othersInFlight_ = static_cast<std::uint32_t>(std::max(0, row.inFlight));
     out.othersTokens_ =
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.tokens));
     out.suspect_ = row.suspect;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -51,9 +51,8 @@
 using transport::beast::string_view;
 
 constexpr std::array<string_view, 9> kHopByHop = {
-  "Connection",          "Keep-Alive", "Proxy-Connection",
-  "Transfer-Encoding",   "TE",         "Trailer",
-  "Upgrade",             "Expect",     "Content-Length",
+  "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
+  "Trailer",    "Upgrade",    "Expect",           "Content-Length",
 };
 
 bool
@@ -143,13 +142,12 @@
 void
 GatewayCall::WatchCaller()
 {
-  transport::Spawn(
-    gateway_.loop_, [self = shared_from_this()]() -> Task<void> {
-      const bool closed = co_await self->link_->AwaitClose();
-      if (closed && !self->finished_) {
-        self->OnCallerGone();
-      }
-    });
+  transport::Spawn(gateway_.loop_, [self = shared_from_this()]() -> Task<void> {
+    const bool closed = co_await self->link_->AwaitClose();
+    if (closed && !self->finished_) {
+      self->OnCallerGone();
+    }
+  });
 }
 
 void
@@ -308,8 +306,7 @@
 GatewayCall::LatestPlace() const
 {
   const core::MonotonicTime now = gateway_.clock_.Now();
-  const auto fit =
-    gateway_.view_.Choose(need_, now, gateway_.random_).fit_;
+  const auto fit = gateway_.view_.Choose(need_, now, gateway_.random_).fit_;
   if (fit == Fit::NoServer) {
     return std::min(deadline_ - kPlainReserve, now + kNoServerWait);
   }
@@ -337,14 +334,14 @@
 {
   const core::MonotonicTime now = gateway_.clock_.Now();
   if (!need_.tried_.empty()) {
-    const auto fit =
-      gateway_.view_.Choose(need_, now, gateway_.random_).fit_;
+    const auto fit = gateway_.view_.Choose(need_, now, gateway_.random_).fit_;
     if (fit == Fit::NoModel || fit == Fit::NoServer) {
       need_.tried_.clear();
     }
   }
   placed_ = false;
-  ticket_ = gateway_.queue_.Add({ need_, route_->priority_, begin_, deadline_ });
+  ticket_ =
+    gateway_.queue_.Add({ need_, route_->priority_, begin_, deadline_ });
   gateway_.waiting_[*ticket_] = this;
   gateway_.AssignPlaces();
   while (!placed_ && !gone_) {
@@ -452,8 +449,7 @@
 GatewayCall::AnswerLimit() const
 {
   const core::Duration left = Left() + kReturnTime;
-  const bool last =
-    !route_->Repeatable() || runs_ + 1 >= route_->maxAttempts_;
+  const bool last = !route_->Repeatable() || runs_ + 1 >= route_->maxAttempts_;
   if (last) {
     return left;
   }
@@ -533,8 +529,8 @@
   const core::Duration limit = AnswerLimit();
   const protocol::CallHeaders& names = gateway_.settings_.headers_;
   AnswerHead head;
-  bool got = co_await aServer.Send(out, limit) &&
-             co_await aServer.ReadHead(head, limit);
+  bool got =
+    co_await aServer.Send(out, limit) && co_await aServer.ReadHead(head, limit);
   // An answer to a request before may still arrive; its id tells.
   for (int stray = 0; got && stray < kMostStrayAnswers; ++stray) {
     const auto echoed = head.fields_[names.requestId_];
@@ -563,9 +559,8 @@
               { "server", choice_.server_.Value() },
               { "timeout", aServer.TimedOut() ? "yes" : "no" },
               { "limit_ms", std::to_string(Milliseconds(limit)) } });
-  Finish(aServer.TimedOut() && Left() > kPlainReserve
-           ? SendOutcome::Unreachable
-           : SendOutcome::Failed);
+  Finish(aServer.TimedOut() && Left() > kPlainReserve ? SendOutcome::Unreachable
+                                                      : SendOutcome::Failed);
   co_return Next::RetryMaybeRun;
 }
 
@@ -614,8 +609,8 @@
   std::string body;
   const bool whole =
     request_.method() == http::verb::head ||
-    co_await aServer.ReadRest(body, std::max<core::Duration>(
-                                      Left(), std::chrono::milliseconds(1)));
+    co_await aServer.ReadRest(
+      body, std::max<core::Duration>(Left(), std::chrono::milliseconds(1)));
   if (gone_) {
     Finish(SendOutcome::Neutral);
     co_return Next::Done;
@@ -638,9 +633,8 @@
     answer.erase(name);
   }
   if (failed && (streaming_ || route_->Repeatable())) {
-    failure_ = transport::WholeAnswer{ aHead.status_,
-                                       answer.base(),
-                                       std::move(body) };
+    failure_ =
+      transport::WholeAnswer{ aHead.status_, answer.base(), std::move(body) };
     co_return Next::RetryMaybeRun;
   }
   served_ = true;
@@ -682,8 +676,7 @@
   if (lastEvent_) {
     events.SkipThrough(*lastEvent_);
   }
-  const bool mayResume =
-    route_->Repeatable() && runs_ < route_->maxAttempts_;
+  const bool mayResume = route_->Repeatable() && runs_ < route_->maxAttempts_;
   bool whole = false;
   while (!gone_) {
     const core::Duration limit =
@@ -735,13 +728,13 @@
   }
   aServer.Abort();
   need_.tried_.insert(choice_.server_);
-  core::Log(core::LogLevel::Info,
-            "stream broke off",
-            { { "request", id_ },
-              { "server", choice_.server_.Value() },
-              { "silent", aServer.TimedOut() ? "yes" : "no" },
-              { "last_event",
-                lastEvent_ ? std::to_string(*lastEvent_) : "none" } });
+  core::Log(
+    core::LogLevel::Info,
+    "stream broke off",
+    { { "request", id_ },
+      { "server", choice_.server_.Value() },
+      { "silent", aServer.TimedOut() ? "yes" : "no" },
+      { "last_event", lastEvent_ ? std::to_string(*lastEvent_) : "none" } });
   if (!aServer.TimedOut()) {
     NoteCrash();
   }
@@ -803,18 +796,18 @@
   answer.body() = std::string(NameOf(aReason)) + "\n";
   answer.keep_alive(keep_ && !gateway_.draining_);
   answer.prepare_payload();
-  core::Log(core::LogLevel::Info,
-            "request refused",
-            { { "request", std::string(id) },
-              { "reason", NameOf(aReason) },
-              { "status", std::to_string(aStatus) },
-              { "route", route_ == nullptr ? "" : route_->name_ },
-              { "model", need_.model_.Value() },
-              { "waited_ms",
-                std::to_string(Milliseconds(gateway_.clock_.Now() - begin_)) },
-              { "left_ms",
-                std::to_string(
-                  route_ == nullptr ? 0 : Milliseconds(Left())) } });
+  core::Log(
+    core::LogLevel::Info,
+    "request refused",
+    { { "request", std::string(id) },
+      { "reason", NameOf(aReason) },
+      { "status", std::to_string(aStatus) },
+      { "route", route_ == nullptr ? "" : route_->name_ },
+      { "model", need_.model_.Value() },
+      { "waited_ms",
+        std::to_string(Milliseconds(gateway_.clock_.Now() - begin_)) },
+      { "left_ms",
+        std::to_string(route_ == nullptr ? 0 : Milliseconds(Left())) } });
   const bool written = co_await link_->Write(answer);
   keep_ = keep_ && written;
 }
@@ -822,20 +815,20 @@
 void
 GatewayCall::LogEnd(std::string_view aOutcome) const
 {
-  core::Log(core::LogLevel::Info,
-            aOutcome,
-            { { "request", id_ },
-              { "route", route_ == nullptr ? "" : route_->name_ },
-              { "server", choice_.server_.Value() },
-              { "model", need_.model_.Value() },
-              { "sends", std::to_string(sends_) },
-              { "placed_ms", std::to_string(Milliseconds(placedAfter_)) },
-              { "first_ms", std::to_string(Milliseconds(firstAfter_)) },
-              { "longest_pause_ms", std::to_string(Milliseconds(longestPause_)) },
-              { "load", std::to_string(loadAtChoice_) },
-              { "age_ms",
-                std::to_string(
-                  Milliseconds(gateway_.clock_.Now() - begin_)) } });
+  core::Log(
+    core::LogLevel::Info,
+    aOutcome,
+    { { "request", id_ },
+      { "route", route_ == nullptr ? "" : route_->name_ },
+      { "server", choice_.server_.Value() },
+      { "model", need_.model_.Value() },
+      { "sends", std::to_string(sends_) },
+      { "placed_ms", std::to_string(Milliseconds(placedAfter_)) },
+      { "first_ms", std::to_string(Milliseconds(firstAfter_)) },
+      { "longest_pause_ms", std::to_string(Milliseconds(longestPause_)) },
+      { "load", std::to_string(loadAtChoice_) },
+      { "age_ms",
+        std::to_string(Milliseconds(gateway_.clock_.Now() - begin_)) } });
 }
 
 } // namespace crocusslip::entry
--- a/entry/ServerPool.cpp
+++ b/entry/ServerPool.cpp
@@ -72,7 +72,8 @@
       links.pop_front();
     }
   }
-  std::erase_if(idle_, [](const auto& aEntry) { return aEntry.second.empty(); });
+  std::erase_if(idle_,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 } // namespace crocusslip::entry
--- a/state/CommandCodec.cpp
+++ b/state/CommandCodec.cpp
@@ -298,9 +298,9 @@
     found.emplace_back(AdvanceTime{ ToTime(aRecord.advanceTime.now) });
   }
   if (set.publishRoutes) {
-    found.emplace_back(PublishRoutes{
-      static_cast<std::uint64_t>(aRecord.publishRoutes.version),
-      std::move(aRecord.publishRoutes.document) });
+    found.emplace_back(
+      PublishRoutes{ static_cast<std::uint64_t>(aRecord.publishRoutes.version),
+                     std::move(aRecord.publishRoutes.document) });
   }
   return found;
 }
--- /dev/null
+++ b/tests/BackendViewTest.cpp
@@ -0,0 +1,185 @@
+#define BOOST_TEST_MODULE BackendView
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/BackendView.hpp"
+#include "coordination/PlaceQueue.hpp"
+
+#include <string>
+
+using namespace crocusslip;
+using namespace crocusslip::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::MonotonicTime kStart{ 1h };
+const ServiceName kService("desk");
+
+struct Fixture
+{
+  BackendView view_{ core::FailureDomainId("a") };
+  core::Random random_{ 5 };
+  core::MonotonicTime now_ = kStart;
+
+  BackendRow Row(const std::string& aId, std::uint32_t aSlots = 4) const
+  {
+    BackendRow row;
+    row.server_ = core::ServerId(aId);
+    row.address_ = "10.0.0.1:80";
+    row.service_ = kService;
+    row.failureDomain_ = core::FailureDomainId("a");
+    row.slots_ = aSlots;
+    return row;
+  }
+
+  BackendNeed Need(const std::string& aModel = "") const
+  {
+    BackendNeed need;
+    need.service_ = kService;
+    need.model_ = core::ModelName(aModel);
+    return need;
+  }
+
+  Choice Choose(const BackendNeed& aNeed)
+  {
+    return view_.Choose(aNeed, now_, random_);
+  }
+
+  void Fail(const std::string& aId, SendOutcome aOutcome, int aTimes = 1)
+  {
+    for (int i = 0; i < aTimes; ++i) {
+      view_.OnStart(core::ServerId(aId), 0);
+      view_.OnFinish(core::ServerId(aId), 0, aOutcome, now_);
+    }
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AChoice)
+
+BOOST_FIXTURE_TEST_CASE(TakesOnlyServersOfTheServiceThatAreReady, Fixture)
+{
+  BackendRow leaving = Row("s1");
+  leaving.state_ = BackendState::Leaving;
+  view_.Update(leaving);
+  BackendRow other = Row("s2");
+  other.service_ = ServiceName("writer");
+  view_.Update(other);
+  BOOST_TEST((Choose(Need()).fit_ == Fit::NoServer));
+  view_.Update(Row("s3"));
+  BOOST_TEST(Choose(Need()).server_.Value() == "s3");
+}
+
+BOOST_FIXTURE_TEST_CASE(SpreadsOverPlacesOfAllHosts, Fixture)
+{
+  BackendRow busy = Row("s1");
+  busy.othersInFlight_ = 3;
+  view_.Update(busy);
+  view_.Update(Row("s2"));
+  std::uint32_t given = 0;
+  while (true) {
+    const Choice choice = Choose(Need());
+    if (choice.fit_ != Fit::Found) {
+      BOOST_TEST((choice.fit_ == Fit::Full));
+      break;
+    }
+    view_.OnStart(choice.server_, 0);
+    ++given;
+  }
+  BOOST_TEST(given == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(FindsTheModel, Fixture)
+{
+  BackendRow row = Row("s1", 64);
+  row.memoryTokens_ = 1000;
+  row.models_ = { core::ModelName("m1") };
+  view_.Update(row);
+  BOOST_TEST((Choose(Need("m2")).fit_ == Fit::NoModel));
+  BOOST_TEST((Choose(Need("m1")).fit_ == Fit::Found));
+  view_.OnMissing(core::ServerId("s1"), core::ModelName("m1"));
+  BOOST_TEST((Choose(Need("m1")).fit_ == Fit::NoModel));
+}
+
+BOOST_FIXTURE_TEST_CASE(DoesNotOverfillTokenMemory, Fixture)
+{
+  BackendRow row = Row("s1", 64);
+  row.memoryTokens_ = 1000;
+  row.models_ = { core::ModelName("m1") };
+  view_.Update(row);
+  BackendNeed need = Need("m1");
+  need.tokens_ = 600;
+  BOOST_TEST((Choose(need).fit_ == Fit::Found));
+  view_.OnStart(core::ServerId("s1"), 600);
+  BOOST_TEST((Choose(need).fit_ == Fit::Full));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AFailingServer)
+
+BOOST_FIXTURE_TEST_CASE(IsLeftOutAndComesBack, Fixture)
+{
+  view_.Update(Row("s1"));
+  view_.Update(Row("s2"));
+  Fail("s1", SendOutcome::Failed, 2);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(Choose(Need()).server_.Value() == "s2");
+  }
+  now_ += 10s;
+  Fail("s2", SendOutcome::Failed, 2);
+  BOOST_TEST(Choose(Need()).server_.Value() == "s1");
+}
+
+// A common cause, such as a broken zone link, must not stop the service.
+BOOST_FIXTURE_TEST_CASE(IsUsedWhenAllFail, Fixture)
+{
+  view_.Update(Row("s1"));
+  view_.Update(Row("s2"));
+  Fail("s1", SendOutcome::Unreachable);
+  Fail("s2", SendOutcome::Unreachable);
+  BOOST_TEST((Choose(Need()).fit_ == Fit::Found));
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsItsCountsWhenItsRowChanges, Fixture)
+{
+  view_.Update(Row("s1", 1));
+  view_.OnStart(core::ServerId("s1"), 0);
+  view_.Update(Row("s1", 1));
+  BOOST_TEST((Choose(Need()).fit_ == Fit::Full));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WaitingRequests)
+
+BOOST_FIXTURE_TEST_CASE(GetPlacesByUrgencyThenByAge, Fixture)
+{
+  view_.Update(Row("s1", 2));
+  PlaceQueue queue;
+  queue.Add({ Need(), 2, kStart, kStart + 10s });
+  const auto urgentLate = queue.Add({ Need(), 0, kStart + 2s, kStart + 10s });
+  const auto urgentEarly = queue.Add({ Need(), 0, kStart + 1s, kStart + 10s });
+  const auto grants = queue.Assign(view_, now_, random_);
+  BOOST_REQUIRE(grants.size() == 2U);
+  BOOST_TEST(grants[0].id_ == urgentEarly);
+  BOOST_TEST(grants[1].id_ == urgentLate);
+  BOOST_TEST(queue.Size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(DoNotHoldUpThoseForOtherModels, Fixture)
+{
+  BackendRow row = Row("s1", 64);
+  row.memoryTokens_ = 1000;
+  row.models_ = { core::ModelName("m1") };
+  view_.Update(row);
+  PlaceQueue queue;
+  queue.Add({ Need("m2"), 0, kStart, kStart + 10s });
+  const auto other = queue.Add({ Need("m1"), 5, kStart, kStart + 10s });
+  const auto grants = queue.Assign(view_, now_, random_);
+  BOOST_REQUIRE(grants.size() == 1U);
+  BOOST_TEST(grants[0].id_ == other);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/FleetTableTest.cpp
@@ -0,0 +1,251 @@
+#define BOOST_TEST_MODULE FleetTable
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/FleetTable.hpp"
+#include "coordination/MemberRepair.hpp"
+#include "coordination/SharedRetryBudget.hpp"
+
+#include <string>
+
+using namespace crocusslip;
+using namespace crocusslip::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::MonotonicTime kStart{ 1h };
+const core::HostId kOne("h1");
+const core::HostId kTwo("h2");
+
+ListedServer
+Listed(const std::string& aId, BackendState aState = BackendState::Ready)
+{
+  ListedServer server;
+  server.server_ = core::ServerId(aId);
+  server.address_ = "10.0.0.1:80";
+  server.service_ = ServiceName("desk");
+  server.slots_ = 6;
+  server.state_ = aState;
+  return server;
+}
+
+std::map<core::ServerId, HostUse>
+Use(const std::string& aId, std::uint32_t aInFlight)
+{
+  std::map<core::ServerId, HostUse> uses;
+  uses[core::ServerId(aId)].inFlight_ = aInFlight;
+  return uses;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheList)
+
+BOOST_AUTO_TEST_CASE(TellsHostsOnlyWhatHasChanged)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1"), Listed("s2") }, kStart);
+  BOOST_TEST(table.RowsFor(kOne, 0).size() == 2U);
+  const std::uint64_t seen = table.Change();
+  table.OnList({ Listed("s1"), Listed("s2") }, kStart + 1s);
+  BOOST_TEST(table.RowsFor(kOne, seen).empty());
+  table.OnList({ Listed("s1", BackendState::Leaving), Listed("s2") },
+               kStart + 2s);
+  const auto rows = table.RowsFor(kOne, seen);
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST((rows[0].state_ == BackendState::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(MakesAMissingServerGone)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1"), Listed("s2") }, kStart);
+  const std::uint64_t seen = table.Change();
+  table.OnList({ Listed("s2") }, kStart + 1s);
+  const auto rows = table.RowsFor(kOne, seen);
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST((rows[0].state_ == BackendState::Gone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LoadOfAllHosts)
+
+BOOST_AUTO_TEST_CASE(IsToldWithoutTheHostsOwn)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1") }, kStart);
+  table.OnUses(kOne, Use("s1", 5), kStart);
+  table.OnUses(kTwo, Use("s1", 7), kStart);
+  BOOST_TEST(table.RowsFor(kOne, 0)[0].othersInFlight_ == 7U);
+  BOOST_TEST(table.RowsFor(kTwo, 0)[0].othersInFlight_ == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsSilentHosts)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1") }, kStart);
+  table.OnUses(kOne, Use("s1", 5), kStart);
+  table.OnUses(kTwo, Use("s1", 7), kStart + 3s);
+  table.Expire(kStart + 4s);
+  BOOST_TEST(table.Hosts() == 1U);
+  BOOST_TEST(table.RowsFor(kOne, 0)[0].othersInFlight_ == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(CountsArrivalsOnce)
+{
+  FleetTable table;
+  const core::ModelName model("m1");
+  std::map<core::ModelName, ModelDemand> demand;
+  demand[model].arrivals_ = 3;
+  demand[model].waiting_ = 2;
+  table.OnDemand(kOne, demand, kStart);
+  table.OnDemand(kOne, demand, kStart);
+  const auto first = table.TakeDemand();
+  BOOST_TEST(first.at(model).arrivals_ == 6U);
+  BOOST_TEST(first.at(model).waiting_ == 2U);
+  BOOST_TEST(table.TakeDemand().at(model).arrivals_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SuspectsAServerOnlyWhenSeveralHostsFail)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1") }, kStart);
+  auto failing = Use("s1", 0);
+  failing[core::ServerId("s1")].failures_ = 5;
+  table.OnUses(kOne, failing, kStart);
+  BOOST_TEST(!table.RowsFor(kOne, 0)[0].suspect_);
+  table.OnUses(kTwo, failing, kStart);
+  BOOST_TEST(table.RowsFor(kOne, 0)[0].suspect_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RetriesOfAllHosts)
+
+BOOST_AUTO_TEST_CASE(StayWithinTheBoundTogether)
+{
+  RetryBound bound;
+  bound.ratio_ = 0.2;
+  bound.extra_ = 40;
+  std::vector<SharedRetryBudget> hosts(8, SharedRetryBudget(bound));
+  std::uint32_t taken = 0;
+  std::uint32_t requests = 0;
+  for (int step = 0; step < 100; ++step) {
+    for (SharedRetryBudget& host : hosts) {
+      host.SetHosts(8);
+      host.OnRequest(kStart + step * 100ms);
+      ++requests;
+      for (int i = 0; i < 3; ++i) {
+        taken += host.TryTake(kStart + step * 100ms) ? 1 : 0;
+      }
+    }
+  }
+  BOOST_TEST(taken <= 0.2 * requests + 40);
+  BOOST_TEST(taken > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ReturnWithTime)
+{
+  SharedRetryBudget budget({ 0.0, 10, 10s });
+  budget.SetHosts(1);
+  int taken = 0;
+  while (budget.TryTake(kStart)) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 7);
+  BOOST_TEST(!budget.TryTake(kStart + 9s));
+  BOOST_TEST(budget.TryTake(kStart + 12s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(MembersOfTheGroup)
+
+namespace {
+
+struct Group
+{
+  state::GroupMembers members_;
+  std::map<core::MemberId, MemberContact> contacts_;
+
+  void Add(std::uint32_t aId, state::MemberRole aRole, core::Duration aSilence)
+  {
+    const core::MemberId id(aId);
+    members_.members_.push_back({ id, "", {}, aRole, "" });
+    members_.highestId_ = id;
+    contacts_[id] = { kStart - aSilence, core::LogIndex(100) };
+  }
+
+  std::optional<state::MemberChange> Next() const
+  {
+    return NextMemberChange(
+      members_, core::MemberId(1), core::LogIndex(100), contacts_, {}, kStart);
+  }
+};
+
+constexpr auto kVoter = state::MemberRole::Voter;
+constexpr auto kLearner = state::MemberRole::Learner;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(GrowToFiveVoters)
+{
+  Group group;
+  group.Add(1, kVoter, 0s);
+  group.Add(2, kVoter, 0s);
+  group.Add(3, kVoter, 0s);
+  group.Add(4, kLearner, 0s);
+  const auto change = group.Next();
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST((change->kind_ == state::MemberChangeKind::Promote));
+  BOOST_TEST(change->member_.id_.Value() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepASilentVoterWithoutReplacement)
+{
+  Group group;
+  group.Add(1, kVoter, 0s);
+  group.Add(2, kVoter, 0s);
+  group.Add(3, kVoter, 60s);
+  BOOST_TEST(!group.Next().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReplaceASilentVoterByALearner)
+{
+  Group group;
+  group.Add(1, kVoter, 0s);
+  group.Add(2, kVoter, 0s);
+  group.Add(3, kVoter, 0s);
+  group.Add(4, kVoter, 0s);
+  group.Add(5, kVoter, 5s);
+  group.Add(6, kLearner, 0s);
+  const auto change = group.Next();
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST((change->kind_ == state::MemberChangeKind::Remove));
+  BOOST_TEST(change->member_.id_.Value() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(NeverLeaveTheLiveOnesWithoutAMajority)
+{
+  Group group;
+  group.Add(1, kVoter, 0s);
+  group.Add(2, kVoter, 0s);
+  group.Add(3, kVoter, 9s);
+  group.Add(4, kVoter, 9s);
+  group.Add(5, kVoter, 9s);
+  group.Add(6, kLearner, 0s);
+  BOOST_TEST(!group.Next().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ForgetALearnerThatNeverCame)
+{
+  Group group;
+  group.Add(1, kVoter, 0s);
+  group.Add(2, kLearner, 30s);
+  const auto change = group.Next();
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST((change->kind_ == state::MemberChangeKind::Remove));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/ModelPlacementTest.cpp
@@ -0,0 +1,303 @@
+#define BOOST_TEST_MODULE ModelPlacement
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/ModelPlacement.hpp"
+
+#include <string>
+
+using namespace crocusslip;
+using namespace crocusslip::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::MonotonicTime kStart{ 1h };
+const ServiceName kService("writer");
+
+core::ModelName
+Model(const std::string& aName)
+{
+  return core::ModelName(aName);
+}
+
+core::ServerId
+Server(int aNumber)
+{
+  return core::ServerId("s" + std::to_string(aNumber));
+}
+
+/// Servers with room for two models each.
+struct Fixture
+{
+  ModelPlacement placement_;
+  core::MonotonicTime now_ = kStart;
+  std::map<core::ModelName, ModelDemand> demand_;
+
+  Fixture()
+  {
+    EngineLimits limits;
+    limits.slots_ = 64;
+    limits.weightsMb_ = 80;
+    limits.adapterSlots_ = 2;
+    limits.loadsPerSecond_ = 4;
+    for (int i = 0; i < 40; ++i) {
+      limits.models_[Model("m" + std::to_string(i))] = {
+        34, 1, 6000ms, 1000ms, 700ms
+      };
+    }
+    placement_.SetLimits({ { kService, limits } });
+  }
+
+  void Add(int aServer, const std::vector<std::string>& aModels)
+  {
+    placement_.AddServer(Server(aServer), kService);
+    EngineContent content;
+    EngineCopies copies;
+    for (const std::string& model : aModels) {
+      content.models_[Model(model)];
+      copies.onDisk_.insert(Model(model));
+    }
+    placement_.OnCopies(Server(aServer), copies);
+    placement_.SetContent(Server(aServer), content);
+  }
+
+  void Wait(const std::string& aModel, std::uint32_t aCount = 1)
+  {
+    demand_[Model(aModel)].waiting_ += aCount;
+    demand_[Model(aModel)].weight_ += aCount;
+    demand_[Model(aModel)].arrivals_ += aCount;
+  }
+
+  void RunAt(int aServer, const std::string& aModel, std::uint32_t aCount)
+  {
+    demand_[Model(aModel)].inFlight_ += aCount;
+    placement_.OnActive(Server(aServer), { Model(aModel) }, aCount);
+  }
+
+  std::vector<PlacementOrder> Decide()
+  {
+    placement_.OnDemand(demand_, now_);
+    return placement_.Decide(now_);
+  }
+
+  /// Loads of models, without prefetches.
+  static std::vector<PlacementOrder> LoadsOf(
+    const std::vector<PlacementOrder>& aOrders,
+    const std::string& aModel)
+  {
+    std::vector<PlacementOrder> loads;
+    for (const PlacementOrder& order : aOrders) {
+      if (order.model_ == Model(aModel) && order.verb_ == PlacementVerb::Load) {
+        loads.push_back(order);
+      }
+    }
+    return loads;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AModelThatNobodyHolds)
+
+BOOST_FIXTURE_TEST_CASE(IsLoadedOnceHoweverManyWait, Fixture)
+{
+  Add(1, {});
+  Add(2, {});
+  Wait("m3", 30);
+  now_ += 1s;
+  BOOST_TEST(LoadsOf(Decide(), "m3").size() == 1U);
+  BOOST_TEST(LoadsOf(Decide(), "m3").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(GoesWhereItsWeightsAre, Fixture)
+{
+  Add(1, {});
+  Add(2, { "m1" });
+  placement_.OnCopies(Server(2), { {}, { Model("m3") } });
+  Wait("m3");
+  const auto loads = LoadsOf(Decide(), "m3");
+  BOOST_REQUIRE(loads.size() == 1U);
+  BOOST_TEST(loads[0].server_.Value() == "s2");
+  BOOST_TEST((loads[0].tier_ == WeightTier::Disk));
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesTheRoomOfOneThatNobodyUses, Fixture)
+{
+  Add(1, { "m1", "m2" });
+  RunAt(1, "m1", 3);
+  Wait("m3");
+  now_ += 1s;
+  const auto first = Decide();
+  BOOST_REQUIRE(first.size() == 1U);
+  BOOST_TEST((first[0].verb_ == PlacementVerb::Unload));
+  BOOST_TEST(first[0].model_.Value() == "m2");
+  BOOST_TEST(!placement_.Usable(Server(1)).contains(Model("m2")));
+  placement_.OnOrderDone(first[0], true, now_);
+  BOOST_TEST(LoadsOf(Decide(), "m3").size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(WaitsRatherThanTakeTheRoomOfModelsInUse, Fixture)
+{
+  Add(1, { "m1", "m2" });
+  placement_.OnActive(Server(1), { Model("m1"), Model("m2") }, 9);
+  demand_[Model("m1")].inFlight_ = 4;
+  demand_[Model("m2")].inFlight_ = 5;
+  Wait("m3");
+  now_ += 1s;
+  BOOST_TEST(Decide().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ABusyModel)
+
+BOOST_FIXTURE_TEST_CASE(GetsReplicasByItsLoad, Fixture)
+{
+  Add(1, { "m1" });
+  Add(2, {});
+  Add(3, {});
+  Add(4, {});
+  RunAt(1, "m1", 14);
+  now_ += 2s;
+  BOOST_TEST(LoadsOf(Decide(), "m1").size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsItsReplicasAgainstRareOnes, Fixture)
+{
+  Add(1, { "m1", "m2" });
+  Add(2, { "m1", "m4" });
+  RunAt(1, "m1", 5);
+  RunAt(2, "m1", 5);
+  Wait("m3");
+  now_ += 1s;
+  for (const PlacementOrder& order : Decide()) {
+    BOOST_TEST(
+      (order.verb_ == PlacementVerb::Load || order.model_.Value() != "m1"));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TheWeightStore)
+
+BOOST_FIXTURE_TEST_CASE(ServesFourLoadsAtOnceTheMostWantedFirst, Fixture)
+{
+  for (int i = 1; i <= 8; ++i) {
+    Add(i, {});
+  }
+  now_ += 10s;
+  Decide();
+  for (int i = 0; i < 8; ++i) {
+    Wait("m" + std::to_string(i), 1U + static_cast<std::uint32_t>(i));
+  }
+  std::size_t loads = 0;
+  for (int step = 0; step < 40; ++step) {
+    now_ += 100ms;
+    const auto orders = Decide();
+    loads += orders.size();
+    if (step == 0) {
+      BOOST_TEST(LoadsOf(orders, "m7").size() == 1U);
+    }
+  }
+  BOOST_TEST(loads <= 4U);
+}
+
+// Two leaders after each other must not exceed the store's rate together.
+BOOST_FIXTURE_TEST_CASE(StartsNoBurstOfLoads, Fixture)
+{
+  for (int i = 1; i <= 30; ++i) {
+    Add(i, {});
+    Wait("m" + std::to_string(i));
+  }
+  std::size_t begun = 0;
+  for (int step = 0; step < 100; ++step) {
+    now_ += 50ms;
+    for (const PlacementOrder& order : Decide()) {
+      ++begun;
+      placement_.OnOrderDone(order, true, now_);
+      demand_.erase(order.model_);
+    }
+  }
+  // 5 s at 4 loads a second, and the burst.
+  BOOST_TEST(begun <= 23U);
+  BOOST_TEST(begun > 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AServerInDoubt)
+
+// A leader that planned on the lagging list overfilled servers on which the
+// leader before had a load under way.
+BOOST_FIXTURE_TEST_CASE(GetsNoOrderBeforeItsOwnReport, Fixture)
+{
+  placement_.AddServer(Server(1), kService);
+  placement_.OnContent(Server(1), {}, now_);
+  Wait("m3");
+  now_ += 1s;
+  BOOST_TEST(Decide().empty());
+  BOOST_REQUIRE(placement_.Unknown().size() == 1U);
+  placement_.SetContent(Server(1), {});
+  BOOST_TEST(LoadsOf(Decide(), "m3").size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsAskedAgainAfterAFailedOrder, Fixture)
+{
+  Add(1, {});
+  Wait("m3");
+  now_ += 1s;
+  const auto orders = Decide();
+  BOOST_REQUIRE(orders.size() == 1U);
+  placement_.OnOrderDone(orders[0], false, now_);
+  BOOST_TEST(Decide().empty());
+  BOOST_TEST(placement_.Unknown().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsAskedAgainWhenTheListDiffers, Fixture)
+{
+  Add(1, { "m1" });
+  now_ += 10s;
+  placement_.OnContent(Server(1), {}, now_);
+  BOOST_TEST(placement_.Unknown().size() == 1U);
+  BOOST_TEST(placement_.Usable(Server(1)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Adapters)
+
+BOOST_FIXTURE_TEST_CASE(AreLoadedWhereTheirModelIs, Fixture)
+{
+  Add(1, { "m2" });
+  Add(2, { "m1" });
+  Wait("m1/a4");
+  now_ += 1s;
+  const auto loads = LoadsOf(Decide(), "m1");
+  BOOST_REQUIRE(loads.size() == 1U);
+  BOOST_TEST(loads[0].server_.Value() == "s2");
+  BOOST_TEST(loads[0].adapter_ == "a4");
+  placement_.OnOrderDone(loads[0], true, now_);
+  BOOST_TEST(placement_.Usable(Server(2)).contains(Model("m1/a4")));
+}
+
+BOOST_FIXTURE_TEST_CASE(MakeRoomForEachOtherTheLongestUnusedFirst, Fixture)
+{
+  Add(1, { "m1" });
+  for (const char* adapter : { "m1/a1", "m1/a2", "m1/a3" }) {
+    demand_.clear();
+    Wait(adapter);
+    now_ += 1s;
+    for (int step = 0; step < 2; ++step) {
+      for (const PlacementOrder& order : Decide()) {
+        if (order.verb_ == PlacementVerb::Unload) {
+          BOOST_TEST(order.adapter_ == "a1");
+        }
+        placement_.OnOrderDone(order, true, now_);
+      }
+    }
+    BOOST_TEST(placement_.Usable(Server(1)).contains(Model(adapter)));
+  }
+  BOOST_TEST(!placement_.Usable(Server(1)).contains(Model("m1/a1")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -67,8 +67,8 @@
   const std::string_view digits = aText.substr(colon + 1);
   const auto parsed =
     std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  const bool whole = parsed.ec == std::errc() &&
-                     parsed.ptr == digits.data() + digits.size();
+  const bool whole =
+    parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size();
   if (error || !whole) {
     return std::nullopt;
   }
@@ -181,7 +181,7 @@
     co_return error != asio::error::operation_aborted;
   }
   const auto peeked = Peek(stream_.socket());
-  co_return peeked && *peeked == 0;
+  co_return peeked&&* peeked == 0;
 }
 
 void
