Refuse at once what only the weight store could bring too late

Change: models that wait for the store carry the time at which they should be there; a request that can't have it in time is refused with that time.

--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -444,17 +444,50 @@
   std::ranges::sort(wants, [](const Want& aLeft, const Want& aRight) {
     return aLeft.weight_ > aRight.weight_;
   });
+  queued_.clear();
+  std::uint32_t ahead = StoreLoads();
   for (const Want& want : wants) {
     const auto candidate = BestServer(want.model_, aNow, want.urgent_);
-    if (!candidate) {
+    const bool store = candidate ? candidate->tier_ == WeightTier::Store
+                                 : OnlyInStore(want.model_);
+    if (candidate &&
+        (!store || (StoreLoads() < kStoreLoadsAtOnce && TakeStoreLoad(aNow)))) {
+      Plan(*candidate, want.model_);
+      ahead += store ? 1 : 0;
       continue;
     }
-    if (candidate->tier_ == WeightTier::Store &&
-        (StoreLoads() >= kStoreLoadsAtOnce || !TakeStoreLoad(aNow))) {
+    if (!store) {
       continue;
     }
-    Plan(*candidate, want.model_);
+    if (want.urgent_ && OnlyInStore(want.model_)) {
+      // Those ahead share the store; on average half of a load has passed.
+      const double rounds =
+        0.5 + static_cast<double>(ahead) / kStoreLoadsAtOnce;
+      queued_[want.model_] = aNow + std::chrono::duration_cast<core::Duration>(
+                                      rounds * StoreLoadTime(want.model_));
+    }
+    ++ahead;
+  }
+}
+
+bool
+ModelPlacement::OnlyInStore(const core::ModelName& aModel) const
+{
+  return std::ranges::none_of(servers_, [&](const auto& aEntry) {
+    return TierOf(aEntry.second, aModel) != WeightTier::Store;
+  });
+}
+
+std::chrono::milliseconds
+ModelPlacement::StoreLoadTime(const core::ModelName& aModel) const
+{
+  for (const auto& [service, limits] : limits_) {
+    const auto size = limits.models_.find(aModel);
+    if (size != limits.models_.end()) {
+      return size->second.storeLoad_;
+    }
   }
+  return std::chrono::milliseconds(0);
 }
 
 void
@@ -706,7 +739,7 @@
 std::map<core::ModelName, core::MonotonicTime>
 ModelPlacement::Coming() const
 {
-  std::map<core::ModelName, core::MonotonicTime> coming;
+  std::map<core::ModelName, core::MonotonicTime> coming = queued_;
   for (const auto& [id, server] : servers_) {
     core::MonotonicTime ready = server.readyAt_;
     for (const PlacementOrder& order : server.plan_) {
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -115,7 +115,8 @@
   std::set<core::ModelName> Usable(const core::ServerId& aServer) const;
   /// The models with most requests, with their requests and replicas, for logs.
   std::string Summary(std::size_t aModels) const;
-  /// When each model that is being loaded should be there.
+  /// When each model that is being loaded, or waits for the weight store,
+  /// should be there.
   std::map<core::ModelName, core::MonotonicTime> Coming() const;
 
 private:
@@ -169,6 +170,7 @@
   std::chrono::milliseconds LoadTime(const EngineLimits& aLimits,
                                      const core::ModelName& aModel,
                                      WeightTier aTier) const;
+  std::chrono::milliseconds StoreLoadTime(const core::ModelName& aModel) const;
   std::uint32_t Holders(const core::ModelName& aModel) const;
   std::uint32_t ComingTo(const core::ModelName& aModel) const;
   ModelDemand DemandOf(const core::ModelName& aModel) const;
@@ -188,6 +190,8 @@
   void PlanAdapters(core::MonotonicTime aNow);
   void PlanAdapter(const ModelParts& aParts, core::MonotonicTime aNow);
   void PlanPrefetch(core::MonotonicTime aNow);
+  /// Whether only the store has a model's weights.
+  bool OnlyInStore(const core::ModelName& aModel) const;
   std::uint32_t StoreLoads() const;
   bool TakeStoreLoad(core::MonotonicTime aNow);
 
@@ -197,6 +201,8 @@
   /// Models in use, with their adapters' requests.
   std::map<core::ModelName, ModelDemand> byModel_;
   core::MonotonicTime demandAt_;
+  /// When models that wait for the weight store should be there.
+  std::map<core::ModelName, core::MonotonicTime> queued_;
   /// Store loads that may begin now.
   double storeTokens_ = 0;
   core::MonotonicTime storeTokensAt_;
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -399,6 +399,12 @@
       now + std::chrono::milliseconds(model.readyInMs);
   }
   AssignPlaces();
+  // Calls whose model will come too late are refused now, not at the end.
+  for (const auto& [id, call] : waiting_) {
+    if (!call->MayWait()) {
+      call->Recheck();
+    }
+  }
 }
 
 void
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -319,7 +319,8 @@
     // This process ends soon; another host can still find a place.
     latest = std::min(latest, gateway_.waitUntil_);
   }
-  const auto coming = gateway_.coming_.find(need_.model_);
+  const auto coming =
+    gateway_.coming_.find(coordination::SplitModel(need_.model_).model_);
   const bool tooLate = fit == Fit::NoModel &&
                        coming != gateway_.coming_.end() &&
                        coming->second > latest;
@@ -399,7 +400,8 @@
   GatewayRefusal reason = GatewayRefusal::NoServer;
   if (fit == Fit::NoModel) {
     reason = GatewayRefusal::NoModel;
-    const auto coming = gateway_.coming_.find(need_.model_);
+    const auto coming =
+      gateway_.coming_.find(coordination::SplitModel(need_.model_).model_);
     if (coming != gateway_.coming_.end() && coming->second > now) {
       retryAfter = coming->second - now;
     }
@@ -822,6 +824,7 @@
       { "route", route_ == nullptr ? "" : route_->name_ },
       { "server", choice_.server_.Value() },
       { "model", need_.model_.Value() },
+      { "tokens", std::string(request_[gateway_.settings_.headers_.tokens_]) },
       { "sends", std::to_string(sends_) },
       { "placed_ms", std::to_string(Milliseconds(placedAfter_)) },
       { "first_ms", std::to_string(Milliseconds(firstAfter_)) },
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -27,6 +27,8 @@
   transport::Task<bool> Run();
   /// A place was found; called by the gateway.
   void Grant(const coordination::Choice& aChoice);
+  /// Whether a place can still be found in time.
+  bool MayWait() const { return LatestPlace().has_value(); }
   /// The time until which it may wait has changed.
   void Recheck() { timer_.cancel(); }
   const coordination::BackendNeed& Need() const { return need_; }
