--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -25,7 +25,7 @@
 constexpr int kConflictsToRead = 4;
 /// Sends of one order without an answer.
 constexpr int kUnknownTries = 4;
-constexpr std::chrono::milliseconds kUnloadTime{ 20 };
+constexpr std::chrono::milliseconds kUnloadTime{ 60 };
 constexpr std::chrono::milliseconds kLoadSlack{ 50 };
 constexpr std::chrono::milliseconds kReportInterval{ 200 };
 /// Longest time that an order's effect is waited for.
@@ -243,7 +243,8 @@
   placement_.OnDemand(table_.TakeDemand(), now);
   for (const auto& [id, row] : table_.Rows()) {
     if (limits_.contains(row.row_.service_)) {
-      placement_.OnActive(id, table_.ActiveAt(id), row.inFlight_);
+      placement_.OnActive(
+        id, table_.ActiveAt(id), row.inFlight_, row.row_.slowness_);
     }
   }
   if (now >= summaryAt_) {
@@ -501,6 +502,10 @@
     out.failures_ =
       static_cast<std::uint32_t>(std::max(0, use.failures + use.unreachable));
     out.successes_ = static_cast<std::uint32_t>(std::max(0, use.successes));
+    out.promptTokens_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, use.promptTokens));
+    out.promptTime_ =
+      std::chrono::microseconds(std::max<std::int64_t>(0, use.promptMicros));
     for (const std::string& model : use.active) {
       out.active_.insert(core::ModelName(model));
     }
@@ -584,6 +589,7 @@
       }
       out.inFlight = static_cast<std::int32_t>(row.othersInFlight_);
       out.tokens = static_cast<std::int64_t>(row.othersTokens_);
+      out.speedPercent = static_cast<std::int32_t>(100 * row.slowness_);
       out.suspect = row.suspect_;
       out.memoryTokens = static_cast<std::int64_t>(row.memoryTokens_);
       aReply.rows.push_back(std::move(out));
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -22,6 +22,8 @@
 /// Runs at a server that count as much as the first one.
 constexpr double kRunsPerPenalty = 4;
 constexpr double kBeginningPenalty = 1.5;
+/// With more runs at a server, its speed can't be told from its load.
+constexpr std::uint32_t kLoadToLearnSpeed = 4;
 /// Share of an engine's places that are used: with more, the streams of all
 /// its runs pause for longer than callers want.
 constexpr double kPlacesShare = 0.4;
@@ -94,8 +96,8 @@
   if (row.memoryTokens_ > 0) {
     // Each run makes the batch slower; each prompt that is being read holds up
     // all streams of the server.
-    score =
-      1 + inFlight / kRunsPerPenalty + kBeginningPenalty * aServer.beginning_;
+    score = row.slowness_ * (1 + inFlight / kRunsPerPenalty +
+                             kBeginningPenalty * aServer.beginning_);
   } else {
     const double slots = row.slots_ == 0 ? 1.0 : row.slots_;
     const double latency =
@@ -217,6 +219,20 @@
   }
 }
 
+void
+BackendView::OnPrompt(const core::ServerId& aServer,
+                      std::uint64_t aTokens,
+                      core::Duration aTime)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end() || LoadOf(aServer) > kLoadToLearnSpeed) {
+    return;
+  }
+  found->second.use_.promptTokens_ += aTokens;
+  found->second.use_.promptTime_ +=
+    std::chrono::duration_cast<std::chrono::microseconds>(aTime);
+}
+
 void
 BackendView::OnLatency(const core::ServerId& aServer, core::Duration aTime)
 {
@@ -275,13 +291,15 @@
     Use& use = server.use_;
     const bool idle = use.inFlight_ == 0 && use.failures_ == 0 &&
                       use.successes_ == 0 && use.unreachable_ == 0 &&
-                      use.missing_.empty();
+                      use.promptTokens_ == 0 && use.missing_.empty();
     if (!idle) {
       uses[id] = use;
     }
     use.failures_ = 0;
     use.successes_ = 0;
     use.unreachable_ = 0;
+    use.promptTokens_ = 0;
+    use.promptTime_ = {};
     use.missing_.clear();
   }
   return uses;
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -39,6 +39,8 @@
   /// Requests and tokens of all other hosts.
   std::uint32_t othersInFlight_ = 0;
   std::uint64_t othersTokens_ = 0;
+  /// Time that it takes to begin a run, against the mean server of its service.
+  double slowness_ = 1;
   /// Several hosts had failures there lately.
   bool suspect_ = false;
 };
@@ -107,8 +109,12 @@
                 std::uint64_t aTokens,
                 SendOutcome aOutcome,
                 core::MonotonicTime aNow);
-  /// A run that OnStart counted has read its prompt.
+  /// A run that OnStart counted has read its prompt, or never will.
   void OnFirstEvent(const core::ServerId& aServer);
+  /// What a run at a server that was nearly idle took to read its prompt.
+  void OnPrompt(const core::ServerId& aServer,
+                std::uint64_t aTokens,
+                core::Duration aTime);
   /// Time from a send to the head of its answer.
   void OnLatency(const core::ServerId& aServer, core::Duration aTime);
   /// The server said that it does not have the model. It is believed until the
@@ -129,6 +135,8 @@
     std::uint32_t failures_ = 0;
     std::uint32_t successes_ = 0;
     std::uint32_t unreachable_ = 0;
+    std::uint64_t promptTokens_ = 0;
+    std::chrono::microseconds promptTime_{ 0 };
     std::vector<core::ModelName> missing_;
   };
   /// What to report; the counts start anew.
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -15,6 +15,12 @@
 /// Change of load that hosts are told.
 constexpr std::uint32_t kLoadStep = 2;
 constexpr double kLoadShare = 0.15;
+/// Prompt tokens after which a sample of speed counts half.
+constexpr double kSpeedHalfLifeTokens = 40'000;
+/// Prompt tokens whose weight the mean server's speed has.
+constexpr double kSpeedPriorTokens = 3'000;
+/// Change of speed that hosts are told.
+constexpr double kSpeedStep = 0.1;
 /// Half-life of reported failures and successes.
 constexpr double kEvidenceHalfLifeS = 3;
 /// Share of failed answers from which a server is suspect.
@@ -93,6 +99,7 @@
   host.lastReport_ = aNow;
   host.uses_ = aUses;
   for (const auto& [server, use] : aUses) {
+    LearnSpeed(server, use);
     if (use.failures_ == 0 && use.successes_ == 0) {
       continue;
     }
@@ -109,9 +116,56 @@
       evidence.failedFor_.erase(aHost);
     }
   }
+  CompareSpeeds();
   Recount(aNow);
 }
 
+void
+FleetTable::LearnSpeed(const core::ServerId& aServer, const HostUse& aUse)
+{
+  if (aUse.promptTokens_ == 0) {
+    return;
+  }
+  Speed& speed = speeds_[aServer];
+  const auto tokens = static_cast<double>(aUse.promptTokens_);
+  // Old samples fade, since a server may turn slow.
+  const double kept = std::exp2(-tokens / kSpeedHalfLifeTokens);
+  speed.micros_ =
+    speed.micros_ * kept + static_cast<double>(aUse.promptTime_.count());
+  speed.tokens_ = speed.tokens_ * kept + tokens;
+}
+
+void
+FleetTable::CompareSpeeds()
+{
+  std::map<ServiceName, Speed> means;
+  for (const auto& [id, speed] : speeds_) {
+    const auto row = rows_.find(id);
+    if (row != rows_.end()) {
+      Speed& mean = means[row->second.row_.service_];
+      mean.micros_ += speed.micros_ / speed.tokens_;
+      mean.tokens_ += 1;
+    }
+  }
+  for (const auto& [id, speed] : speeds_) {
+    const auto found = rows_.find(id);
+    if (found == rows_.end()) {
+      continue;
+    }
+    Row& row = found->second;
+    const Speed& mean = means[row.row_.service_];
+    // Few samples say little: they are mixed with ones of the mean server.
+    const double average = mean.micros_ / mean.tokens_;
+    const double own = (speed.micros_ + average * kSpeedPriorTokens) /
+                       (speed.tokens_ + kSpeedPriorTokens);
+    const double slowness = own / average;
+    if (std::abs(slowness - row.row_.slowness_) > kSpeedStep) {
+      row.row_.slowness_ = slowness;
+      Touch(row);
+    }
+  }
+}
+
 void
 FleetTable::OnDemand(const core::HostId& aHost,
                      const std::map<core::ModelName, ModelDemand>& aDemand,
--- a/coordination/FleetTable.hpp
+++ b/coordination/FleetTable.hpp
@@ -33,6 +33,8 @@
   std::uint64_t tokens_ = 0;
   std::uint32_t failures_ = 0;
   std::uint32_t successes_ = 0;
+  std::uint64_t promptTokens_ = 0;
+  std::chrono::microseconds promptTime_{ 0 };
   std::set<core::ModelName> active_;
 };
 
@@ -92,6 +94,15 @@
     core::MonotonicTime at_;
   };
 
+  /// Time for a prompt token, by which servers of a service are compared.
+  struct Speed
+  {
+    double micros_ = 0;
+    double tokens_ = 0;
+  };
+
+  void LearnSpeed(const core::ServerId& aServer, const HostUse& aUse);
+  void CompareSpeeds();
   void Touch(Row& aRow);
   void TouchUrgently(Row& aRow);
   void Recount(core::MonotonicTime aNow);
@@ -101,6 +112,7 @@
   std::map<core::ServerId, core::MonotonicTime> goneSince_;
   std::map<core::HostId, Host> hosts_;
   std::map<core::ServerId, Evidence> evidence_;
+  std::map<core::ServerId, Speed> speeds_;
   std::uint64_t change_ = 1;
   std::uint64_t urgentChange_ = 1;
 };
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -35,6 +35,8 @@
 constexpr double kFirstReplicaWeight = 20;
 /// Cost, in seconds, of each request that runs at a candidate.
 constexpr double kLoadCostS = 0.05;
+/// Cost, in seconds, of a server that is slower by the whole mean.
+constexpr double kSlownessCostS = 0.5;
 
 double
 Seconds(core::Duration aTime)
@@ -143,12 +145,14 @@
 void
 ModelPlacement::OnActive(const core::ServerId& aServer,
                          std::set<core::ModelName> aActive,
-                         std::uint32_t aInFlight)
+                         std::uint32_t aInFlight,
+                         double aSlowness)
 {
   const auto found = servers_.find(aServer);
   if (found != servers_.end()) {
     found->second.active_ = std::move(aActive);
     found->second.inFlight_ = aInFlight;
+    found->second.slowness_ = aSlowness;
   }
 }
 
@@ -353,7 +357,8 @@
   candidate.server_ = aId;
   candidate.tier_ = TierOf(aServer, aModel);
   candidate.cost_ = Seconds(LoadTime(*limits, aModel, candidate.tier_)) +
-                    kLoadCostS * aServer.inFlight_;
+                    kLoadCostS * aServer.inFlight_ +
+                    kSlownessCostS * aServer.slowness_;
   const std::uint32_t wanted = SizeMb(*limits, aModel, nullptr);
   std::uint32_t used = UsedMb(aServer, *limits);
   std::vector<std::pair<double, core::ModelName>> victims;
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -97,7 +97,8 @@
   /// Models that run on the server at present.
   void OnActive(const core::ServerId& aServer,
                 std::set<core::ModelName> aActive,
-                std::uint32_t aInFlight);
+                std::uint32_t aInFlight,
+                double aSlowness = 1);
   /// Replaces the demand for all models.
   void OnDemand(const std::map<core::ModelName, ModelDemand>& aDemand,
                 core::MonotonicTime aNow);
@@ -132,6 +133,7 @@
     std::map<core::ModelName, Held> models_;
     std::set<core::ModelName> active_;
     std::uint32_t inFlight_ = 0;
+    double slowness_ = 1;
     EngineCopies copies_;
     /// Orders that must follow each other; the first is under way.
     std::vector<PlacementOrder> plan_;
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -341,6 +341,8 @@
     out.failures = static_cast<std::int32_t>(use.failures_);
     out.successes = static_cast<std::int32_t>(use.successes_);
     out.unreachable = static_cast<std::int32_t>(use.unreachable_);
+    out.promptTokens = static_cast<std::int64_t>(use.promptTokens_);
+    out.promptMicros = use.promptTime_.count();
     for (const core::ModelName& model : use.missing_) {
       out.missing.push_back(model.Value());
     }
@@ -466,6 +468,7 @@
     out.othersInFlight_ = static_cast<std::uint32_t>(std::max(0, row.inFlight));
     out.othersTokens_ =
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.tokens));
+    out.slowness_ = row.speedPercent > 0 ? row.speedPercent / 100.0 : 1.0;
     out.suspect_ = row.suspect;
     if (out.state_ == coordination::BackendState::Gone) {
       pool_.Drop(out.server_);
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -183,7 +183,9 @@
   }
   if (service->engine_) {
     need_.model_ = core::ModelName(std::string(header(names.model_)));
-    need_.tokens_ = TokensOf(header(names.tokens_));
+    const std::string_view tokens = header(names.tokens_);
+    need_.tokens_ = TokensOf(tokens);
+    promptTokens_ = TokensOf(tokens.substr(0, tokens.find(',')));
     const auto parts = coordination::SplitModel(need_.model_);
     if (!need_.model_.Empty() &&
         !service->engine_->models_.contains(parts.model_)) {
@@ -702,6 +704,8 @@
     if (!ready.empty()) {
       if (std::exchange(sendFirst_, false)) {
         gateway_.view_.OnFirstEvent(choice_.server_);
+        gateway_.view_.OnPrompt(
+          choice_.server_, promptTokens_, gateway_.clock_.Now() - sentAt_);
       }
       NoteEvents();
       std::array<char, 20> size{};
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -82,6 +82,7 @@
   const std::shared_ptr<const coordination::RouteTable> routes_;
   const coordination::Route* route_ = nullptr;
   coordination::BackendNeed need_;
+  std::uint64_t promptTokens_ = 0;
   std::string id_;
   std::string fingerprint_;
   core::MonotonicTime begin_;
--- a/entry/ServerPool.cpp
+++ b/entry/ServerPool.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kMostIdle = 8;
 /// Servers that do not say how long they keep a connection are trusted this
 /// long, the others for half of what they said.
-constexpr std::chrono::milliseconds kTrusted{ 2000 };
+constexpr std::chrono::milliseconds kTrusted{ 4000 };
 
 bool
 Fresh(const transport::ServerLink& aLink)
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -49,6 +49,14 @@
 void ServerUse::__set_active(const std::vector<std::string> & val) {
   this->active = val;
 }
+
+void ServerUse::__set_promptTokens(const int64_t val) {
+  this->promptTokens = val;
+}
+
+void ServerUse::__set_promptMicros(const int64_t val) {
+  this->promptMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj)
 {
   obj.printTo(out);
@@ -165,6 +173,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptTokens);
+          this->__isset.promptTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptMicros);
+          this->__isset.promptMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -230,6 +254,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("promptTokens", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->promptTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptMicros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->promptMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -245,6 +277,8 @@
   swap(a.unreachable, b.unreachable);
   swap(a.missing, b.missing);
   swap(a.active, b.active);
+  swap(a.promptTokens, b.promptTokens);
+  swap(a.promptMicros, b.promptMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -257,6 +291,8 @@
   unreachable = other12.unreachable;
   missing = other12.missing;
   active = other12.active;
+  promptTokens = other12.promptTokens;
+  promptMicros = other12.promptMicros;
   __isset = other12.__isset;
 }
 ServerUse& ServerUse::operator=(const ServerUse& other13) {
@@ -268,6 +304,8 @@
   unreachable = other13.unreachable;
   missing = other13.missing;
   active = other13.active;
+  promptTokens = other13.promptTokens;
+  promptMicros = other13.promptMicros;
   __isset = other13.__isset;
   return *this;
 }
@@ -282,6 +320,8 @@
   out << ", " << "unreachable=" << to_string(unreachable);
   out << ", " << "missing=" << to_string(missing);
   out << ", " << "active=" << to_string(active);
+  out << ", " << "promptTokens=" << to_string(promptTokens);
+  out << ", " << "promptMicros=" << to_string(promptMicros);
   out << ")";
 }
 
@@ -993,6 +1033,10 @@
 void ServerRow::__set_memoryTokens(const int64_t val) {
   this->memoryTokens = val;
 }
+
+void ServerRow::__set_speedPercent(const int32_t val) {
+  this->speedPercent = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRow& obj)
 {
   obj.printTo(out);
@@ -1141,6 +1185,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPercent);
+          this->__isset.speedPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1222,6 +1274,10 @@
   xfer += oprot->writeI64(this->memoryTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("speedPercent", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->speedPercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1241,6 +1297,7 @@
   swap(a.suspect, b.suspect);
   swap(a.coming, b.coming);
   swap(a.memoryTokens, b.memoryTokens);
+  swap(a.speedPercent, b.speedPercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -1257,6 +1314,7 @@
   suspect = other50.suspect;
   coming = other50.coming;
   memoryTokens = other50.memoryTokens;
+  speedPercent = other50.speedPercent;
   __isset = other50.__isset;
 }
 ServerRow& ServerRow::operator=(const ServerRow& other51) {
@@ -1272,6 +1330,7 @@
   suspect = other51.suspect;
   coming = other51.coming;
   memoryTokens = other51.memoryTokens;
+  speedPercent = other51.speedPercent;
   __isset = other51.__isset;
   return *this;
 }
@@ -1290,6 +1349,7 @@
   out << ", " << "suspect=" << to_string(suspect);
   out << ", " << "coming=" << to_string(coming);
   out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ", " << "speedPercent=" << to_string(speedPercent);
   out << ")";
 }
 
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -40,7 +40,7 @@
 class JoinAnswer;
 
 typedef struct _ServerUse__isset {
-  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false) {}
+  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false) {}
   bool server :1;
   bool inFlight :1;
   bool tokens :1;
@@ -49,6 +49,8 @@
   bool unreachable :1;
   bool missing :1;
   bool active :1;
+  bool promptTokens :1;
+  bool promptMicros :1;
 } _ServerUse__isset;
 
 class ServerUse : public virtual ::apache::thrift::TBase {
@@ -62,7 +64,9 @@
               tokens(0),
               failures(0),
               successes(0),
-              unreachable(0) {
+              unreachable(0),
+              promptTokens(0),
+              promptMicros(0) {
   }
 
   virtual ~ServerUse() noexcept;
@@ -74,6 +78,8 @@
   int32_t unreachable;
   std::vector<std::string>  missing;
   std::vector<std::string>  active;
+  int64_t promptTokens;
+  int64_t promptMicros;
 
   _ServerUse__isset __isset;
 
@@ -93,6 +99,10 @@
 
   void __set_active(const std::vector<std::string> & val);
 
+  void __set_promptTokens(const int64_t val);
+
+  void __set_promptMicros(const int64_t val);
+
   bool operator == (const ServerUse & rhs) const
   {
     if (!(server == rhs.server))
@@ -111,6 +121,10 @@
       return false;
     if (!(active == rhs.active))
       return false;
+    if (!(promptTokens == rhs.promptTokens))
+      return false;
+    if (!(promptMicros == rhs.promptMicros))
+      return false;
     return true;
   }
   bool operator != (const ServerUse &rhs) const {
@@ -368,7 +382,7 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _ServerRow__isset {
-  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false) {}
+  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false) {}
   bool server :1;
   bool address :1;
   bool serviceName :1;
@@ -381,6 +395,7 @@
   bool suspect :1;
   bool coming :1;
   bool memoryTokens :1;
+  bool speedPercent :1;
 } _ServerRow__isset;
 
 class ServerRow : public virtual ::apache::thrift::TBase {
@@ -398,7 +413,8 @@
               inFlight(0),
               tokens(0),
               suspect(0),
-              memoryTokens(0) {
+              memoryTokens(0),
+              speedPercent(0) {
   }
 
   virtual ~ServerRow() noexcept;
@@ -414,6 +430,7 @@
   bool suspect;
   std::vector<std::string>  coming;
   int64_t memoryTokens;
+  int32_t speedPercent;
 
   _ServerRow__isset __isset;
 
@@ -441,6 +458,8 @@
 
   void __set_memoryTokens(const int64_t val);
 
+  void __set_speedPercent(const int32_t val);
+
   bool operator == (const ServerRow & rhs) const
   {
     if (!(server == rhs.server))
@@ -467,6 +486,8 @@
       return false;
     if (!(memoryTokens == rhs.memoryTokens))
       return false;
+    if (!(speedPercent == rhs.speedPercent))
+      return false;
     return true;
   }
   bool operator != (const ServerRow &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -12,6 +12,8 @@
   6: i32 unreachable     // connections that could not be made or went silent
   7: list<string> missing // models that the server said it doesn't have
   8: list<string> active  // models that run there now
+  9: i64 promptTokens     // read by runs that began, since the last call
+  10: i64 promptMicros    // time that these took until their first event
 }
 
 struct ModelUse {
@@ -56,6 +58,7 @@
   10: bool suspect
   11: list<string> coming // models that are being loaded
   12: i64 memoryTokens   // 0: not known
+  13: i32 speedPercent   // time for a prompt against the mean server's; 0: not known
 }
 
 struct ComingModel {
--- /dev/null
+++ b/tests/GatewayTest.cpp
@@ -0,0 +1,410 @@
+#define BOOST_TEST_MODULE Gateway
+#include <boost/test/unit_test.hpp>
+
+#include "Fleet.h"
+#include "entry/Gateway.hpp"
+#include "support/LocalSystem.hpp"
+#include "transport/HttpLink.hpp"
+#include "transport/RpcServer.hpp"
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+using namespace crocusslip;
+using namespace std::chrono_literals;
+using transport::HttpRequest;
+using transport::Task;
+namespace http = transport::http;
+
+namespace {
+
+constexpr auto kLongest = 10s;
+
+/// Stands in for the leader of the control group.
+class FakeFleet final : public wire::FleetIf
+{
+public:
+  void sync(wire::SyncReply& aReply, const wire::SyncRequest& aRequest) override
+  {
+    std::this_thread::sleep_for(10ms);
+    const std::lock_guard lock(mutex_);
+    aReply = reply_;
+    aReply.leader = true;
+    aReply.epoch = 1;
+    aReply.complete = aRequest.epoch != 1;
+    aReply.hosts = 1;
+    aReply.routesVersion = 1;
+    aReply.routes = aRequest.routesVersion < 1 ? "routes" : "";
+  }
+  void join(wire::JoinAnswer&, const wire::JoinRequest&) override {}
+
+  void AddServer(const std::string& aId, std::uint16_t aPort)
+  {
+    const std::lock_guard lock(mutex_);
+    wire::ServerRow row;
+    row.server = aId;
+    row.address = "127.0.0.1:" + std::to_string(aPort);
+    row.serviceName = "desk";
+    row.slots = 4;
+    reply_.rows.push_back(row);
+  }
+
+private:
+  std::mutex mutex_;
+  wire::SyncReply reply_;
+};
+
+coordination::Route
+MakeRoute(const std::string& aPrefix, coordination::RequestKind aKind)
+{
+  coordination::Route route;
+  route.name_ = aPrefix;
+  route.host_ = "h.example";
+  route.prefix_ = aPrefix;
+  route.kind_ = aKind;
+  route.timeout_ = 3s;
+  route.objective_ = 100ms;
+  route.patience_ = 2s;
+  route.services_ = { { coordination::ServiceName("desk"), 1 } };
+  route.maxAttempts_ = 2;
+  route.resumable_ = true;
+  return route;
+}
+
+using Answerer =
+  std::function<Task<void>(transport::CallerLink&, const HttpRequest&)>;
+
+/// A gateway between a caller and fake servers, all on one loop.
+struct Fixture
+{
+  transport::asio::io_context loop_{ 1 };
+  const core::SystemClock clock_;
+  std::shared_ptr<FakeFleet> fleet_ = std::make_shared<FakeFleet>();
+  std::unique_ptr<transport::RpcServer> rpc_;
+  std::unique_ptr<entry::Gateway> gateway_;
+  std::vector<std::unique_ptr<transport::LinkListener>> servers_;
+  std::string callers_ = "127.0.0.1:" + std::to_string(tests::FreePort());
+  int arrivals_ = 0;
+
+  Fixture()
+  {
+    transport::RpcServerSettings rpc;
+    rpc.port_ = tests::FreePort();
+    rpc_ = std::make_unique<transport::RpcServer>(
+      rpc, std::make_shared<wire::FleetProcessor>(fleet_));
+    BOOST_REQUIRE(rpc_->Start().Ok());
+    entry::GatewaySettings settings;
+    settings.host_ = core::HostId("e1");
+    settings.callers_ = callers_;
+    settings.readiness_ = "127.0.0.1:" + std::to_string(tests::FreePort());
+    settings.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
+    settings.retries_ = { 0.2, 50, 10s };
+    settings.headers_ = { "Id",      "Deadline",  "Expect-Server", "Not-Run",
+                          "Stamp",   "Model",     "Tokens",        "Urgency",
+                          "Last-Id", { "Secret" } };
+    settings.readRoutes_ = [](const std::string&) {
+      using coordination::RequestKind;
+      return core::Result<coordination::RouteTable>(coordination::RouteTable(
+        1,
+        { MakeRoute("/safe/", RequestKind::Idempotent),
+          MakeRoute("/once/", RequestKind::AtMostOnce),
+          MakeRoute("/stream/", RequestKind::Stream) },
+        { { coordination::ServiceName("desk"),
+            { coordination::ServiceName("desk"), 9, std::nullopt } } },
+        {}));
+    };
+    gateway_ = std::make_unique<entry::Gateway>(loop_, settings, clock_);
+    BOOST_REQUIRE(gateway_->Start().Ok());
+  }
+  ~Fixture()
+  {
+    loop_.stop();
+    gateway_.reset();
+    rpc_->Stop();
+  }
+
+  void Serve(const std::string& aId, Answerer aAnswerer)
+  {
+    const std::uint16_t port = tests::FreePort();
+    servers_.push_back(std::make_unique<transport::LinkListener>(
+      loop_,
+      "127.0.0.1:" + std::to_string(port),
+      [this, aAnswerer](transport::Tcp::socket aSocket) {
+        auto link = std::make_shared<transport::CallerLink>(
+          std::move(aSocket), transport::LinkLimits{});
+        transport::Spawn(loop_, [this, link, aAnswerer]() -> Task<void> {
+          HttpRequest request;
+          while (co_await link->Read(request, transport::LinkLimits{}) ==
+                 transport::ReadResult::Complete) {
+            ++arrivals_;
+            co_await aAnswerer(*link, request);
+          }
+        });
+      }));
+    BOOST_REQUIRE(servers_.back()->Start().Ok());
+    fleet_->AddServer(aId, port);
+  }
+
+  static HttpRequest Request(const std::string& aTarget)
+  {
+    HttpRequest request{ http::verb::post, aTarget, 11 };
+    request.set(http::field::host, "h.example");
+    request.set("Id", "abc");
+    request.set("Secret", "mine");
+    request.body() = "the body";
+    request.prepare_payload();
+    return request;
+  }
+
+  /// Runs the loop until aDone is set.
+  void RunUntil(const bool& aDone)
+  {
+    const auto until = std::chrono::steady_clock::now() + kLongest;
+    while (!aDone && std::chrono::steady_clock::now() < until) {
+      loop_.run_for(10ms);
+    }
+    BOOST_REQUIRE(aDone);
+  }
+
+  transport::WholeAnswer Call(const std::string& aTarget)
+  {
+    bool done = false;
+    transport::WholeAnswer got;
+    const auto wait = std::chrono::steady_clock::now() + kLongest;
+    while (!gateway_->Ready() && std::chrono::steady_clock::now() < wait) {
+      loop_.run_for(10ms);
+    }
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      auto answer =
+        co_await transport::CallOnce(loop_, callers_, Request(aTarget), 5s);
+      if (answer.Ok()) {
+        got = std::move(answer.Value());
+      }
+      done = true;
+    });
+    RunUntil(done);
+    return got;
+  }
+
+  static Answerer Plain(const std::string& aHead, const std::string& aBody)
+  {
+    return [=](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      co_await aLink.WriteRaw("HTTP/1.1 " + aHead + "\r\nContent-Length: " +
+                              std::to_string(aBody.size()) + "\r\n\r\n" +
+                              aBody);
+    };
+  }
+  static Answerer Cut()
+  {
+    return [](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      aLink.Abort();
+      co_return;
+    };
+  }
+};
+
+const std::string kGood = "200 OK\r\nId: abc\r\nStamp: s1";
+
+std::string
+Chunk(const std::string& aText)
+{
+  std::string size;
+  constexpr const char* kDigits = "0123456789abcdef";
+  for (std::size_t left = aText.size(); left > 0; left /= 16) {
+    size.insert(size.begin(), kDigits[left % 16]);
+  }
+  return size + "\r\n" + aText + "\r\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ARequest)
+
+BOOST_FIXTURE_TEST_CASE(ReachesItsServerUnchangedAndComesBackUnchanged, Fixture)
+{
+  HttpRequest seen;
+  Serve("s1",
+        [&](transport::CallerLink& aLink,
+            const HttpRequest& aRequest) -> Task<void> {
+          seen = aRequest;
+          co_await Plain(kGood + "\r\nX: y", "hello")(aLink, aRequest);
+        });
+  const auto answer = Call("/once/a/b?c=d");
+  BOOST_TEST(answer.status_ == 200U);
+  BOOST_TEST(answer.body_ == "hello");
+  BOOST_TEST(answer.fields_["Stamp"] == "s1");
+  BOOST_TEST(answer.fields_["X"] == "y");
+  BOOST_TEST(seen.target() == "/once/a/b?c=d");
+  BOOST_TEST(seen.body() == "the body");
+  BOOST_TEST(seen["Expect-Server"] == "s1");
+  BOOST_TEST(seen["Secret"].empty());
+  BOOST_TEST(std::stoi(std::string(seen["Deadline"])) <= 3000);
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutARouteGets404, Fixture)
+{
+  Serve("s1", Plain(kGood, "hello"));
+  BOOST_TEST(Call("/other/").status_ == 404U);
+  BOOST_TEST(arrivals_ == 0);
+}
+
+// The signature proves that a server made the answer.
+BOOST_FIXTURE_TEST_CASE(NeverGetsASuccessWithoutASignature, Fixture)
+{
+  Serve("s1", Plain("200 OK\r\nId: abc", "hello"));
+  BOOST_TEST(Call("/once/a").status_ == 502U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NeverGetsTheAnswerOfAnother, Fixture)
+{
+  Serve("s1",
+        [&](transport::CallerLink& aLink,
+            const HttpRequest& aRequest) -> Task<void> {
+          co_await Plain("200 OK\r\nId: old\r\nStamp: s0",
+                         "not yours")(aLink, aRequest);
+          co_await Plain(kGood, "yours")(aLink, aRequest);
+        });
+  BOOST_TEST(Call("/safe/a").body_ == "yours");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ARequestThatMayRunOnce)
+
+BOOST_FIXTURE_TEST_CASE(IsNotSentAgainAfterACut, Fixture)
+{
+  Serve("s1", Cut());
+  Serve("s2", Cut());
+  BOOST_TEST(Call("/once/a").status_ == 502U);
+  BOOST_TEST(arrivals_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(GoesElsewhereWhenItCertainlyDidNotRun, Fixture)
+{
+  Serve("s1",
+        [&](transport::CallerLink& aLink,
+            const HttpRequest& aRequest) -> Task<void> {
+          // The first that gets it says so, whichever it is.
+          if (arrivals_ == 1) {
+            co_await Plain("503 Full\r\nNot-Run: 1", "")(aLink, aRequest);
+          } else {
+            co_await Plain(kGood, "ran")(aLink, aRequest);
+          }
+        });
+  BOOST_TEST(Call("/once/a").body_ == "ran");
+  BOOST_TEST(arrivals_ == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ARepeatableRequest)
+
+BOOST_FIXTURE_TEST_CASE(GoesElsewhereAfterACut, Fixture)
+{
+  Serve("s1",
+        [&](transport::CallerLink& aLink,
+            const HttpRequest& aRequest) -> Task<void> {
+          if (arrivals_ == 1) {
+            co_await Cut()(aLink, aRequest);
+          } else {
+            co_await Plain(kGood, "ran")(aLink, aRequest);
+          }
+        });
+  BOOST_TEST(Call("/safe/a").body_ == "ran");
+}
+
+BOOST_FIXTURE_TEST_CASE(ReachesNoMoreServersThanItsRouteAllows, Fixture)
+{
+  Serve("s1", Cut());
+  Serve("s2", Cut());
+  Serve("s3", Cut());
+  BOOST_TEST(Call("/safe/a").status_ == 502U);
+  BOOST_TEST(arrivals_ == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AStream)
+
+BOOST_FIXTURE_TEST_CASE(GoesOnElsewhereAfterItsLastWholeEvent, Fixture)
+{
+  std::string lastId;
+  Serve("s1",
+        [&](transport::CallerLink& aLink,
+            const HttpRequest& aRequest) -> Task<void> {
+          const std::string head = "HTTP/1.1 200 OK\r\nId: abc\r\nStamp: s1\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n";
+          if (arrivals_ == 1) {
+            co_await aLink.WriteRaw(head +
+                                    Chunk("id: 1\ndata: a\n\nid: 2\nda"));
+            co_await aLink.Finish();
+            co_return;
+          }
+          lastId = std::string(aRequest["Last-Id"]);
+          co_await aLink.WriteRaw(head + Chunk("id: 2\ndata: b\n\n") +
+                                  Chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+        });
+  BOOST_TEST(Call("/stream/a").body_ ==
+             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  BOOST_TEST(lastId == "1");
+}
+
+BOOST_FIXTURE_TEST_CASE(DoesNotLookCompleteWhenItBreaksForGood, Fixture)
+{
+  Serve("s1",
+        [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+          co_await aLink.WriteRaw("HTTP/1.1 200 OK\r\nId: abc\r\nStamp: s1\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n" +
+                                  Chunk("id: 1\ndata: a\n\n"));
+          co_await aLink.Finish();
+        });
+  // The call fails as a whole.
+  BOOST_TEST(Call("/stream/a").status_ == 0U);
+}
+
+// The server's connection closes, so that its run stops.
+BOOST_FIXTURE_TEST_CASE(StopsAtTheServerWhenItsCallerLeaves, Fixture)
+{
+  bool closed = false;
+  Serve("s1",
+        [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+          closed = co_await aLink.AwaitClose();
+        });
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    transport::asio::steady_timer timer(loop_);
+    while (!gateway_->Ready()) {
+      co_await transport::Sleep(timer, 10ms);
+    }
+    transport::ServerLink caller(loop_);
+    co_await caller.Connect(callers_, 1s);
+    co_await caller.Send(Request("/stream/a"), 1s);
+    co_await transport::Sleep(timer, 100ms);
+    caller.Abort();
+  });
+  RunUntil(closed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenItDrains)
+
+BOOST_FIXTURE_TEST_CASE(IsNotReadyAndStillServes, Fixture)
+{
+  Serve("s1", Plain(kGood, "hello"));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  gateway_->Drain();
+  BOOST_TEST(!gateway_->Ready());
+  bool done = false;
+  unsigned status = 0;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    const auto answer =
+      co_await transport::CallOnce(loop_, callers_, Request("/safe/a"), 2s);
+    status = answer.Ok() ? answer.Value().status_ : 0;
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(status == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
