Learn what the weight store carries; count planned unloads; wait for the first routes

Change: the number of store loads follows the time that they take; planned unloads no longer count as holders; half the load justifies giving a replica up; a request that waits for long may take a slow place; requests wait at most 1.5 s for the first routes.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -121,6 +121,14 @@
 {
   term_ = aTerm;
   ordersFrom_ = clock_.Now() + settings_.holderLease_ + kLeaseMargin;
+  const auto group = group_.Current();
+  const bool first = group && group->WithState([](const auto& aState) {
+    return aState.Routes().Version() == 0;
+  });
+  if (first) {
+    // Nobody can have given orders before there were services.
+    ordersFrom_ = clock_.Now();
+  }
   fenced_ = false;
   listed_ = false;
   routesVersion_ = 0;
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -27,6 +27,8 @@
 /// Share of an engine's places that are used: with more, the streams of all
 /// its runs pause for longer than callers want.
 constexpr double kPlacesShare = 0.4;
+/// The same for a request that could no longer be in time with a fast place.
+constexpr double kPressedPlacesShare = 0.8;
 /// Share of a server's token memory that is filled by estimate; answers are
 /// often shorter than their limit, but an overfull server preempts.
 constexpr double kMemoryShare = 0.95;
@@ -71,9 +73,12 @@
 BackendView::HasPlace(const Server& aServer, const BackendNeed& aNeed) const
 {
   const BackendRow& row = aServer.row_;
-  const double places = row.memoryTokens_ > 0
-                          ? std::max(1.0, kPlacesShare * row.slots_)
-                          : row.slots_;
+  const double places =
+    row.memoryTokens_ > 0
+      ? std::max(1.0,
+                 (aNeed.pressed_ ? kPressedPlacesShare : kPlacesShare) *
+                   row.slots_)
+      : row.slots_;
   if (row.slots_ > 0 &&
       row.othersInFlight_ + aServer.use_.inFlight_ >= places) {
     return false;
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -52,6 +52,8 @@
   /// Empty when any server of the service will do.
   core::ModelName model_;
   std::uint64_t tokens_ = 0;
+  /// It has waited for long: a slow place is better than none.
+  bool pressed_ = false;
   /// Servers that were tried before.
   std::set<core::ServerId> tried_;
 };
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -12,8 +12,14 @@
 constexpr std::chrono::milliseconds kListLag{ 2500 };
 /// Time that a model stays after its load, for the requests that waited.
 constexpr std::chrono::milliseconds kLeastStay{ 1500 };
-/// Loads from the store at once; more only share its bandwidth.
-constexpr std::uint32_t kStoreLoadsAtOnce = 4;
+/// Bounds of the loads from the store at once. How many it serves at full speed
+/// is learned from the time that loads take; more only share its bandwidth.
+constexpr std::uint32_t kFewestStoreLoads = 1;
+constexpr std::uint32_t kMostStoreLoads = 8;
+/// A load that takes longer than its time by this factor shared the bandwidth;
+/// one within the smaller factor had it for itself.
+constexpr double kSharedLoad = 1.25;
+constexpr double kFullSpeedLoad = 1.15;
 /// Store loads that may begin in the same moment.
 constexpr double kStoreBurst = 3;
 /// Share of the store's rate that is used, so that a change of leader does not
@@ -27,10 +33,10 @@
 /// Regret of a model that nobody has used, and added for recent use.
 constexpr double kUnusedRegret = 0.02;
 constexpr double kRecentRegret = 0.05;
-/// Store loads of models that nobody waits for.
-constexpr std::uint32_t kPrefetchesAtOnce = 2;
 /// Requests that run or wait for each replica of a busy model.
 constexpr double kLoadPerHolder = 6;
+/// The same for giving one up; lower, since demand comes in waves.
+constexpr double kSpareLoadPerHolder = 3;
 /// Weight of a want without any replica against one for one more replica.
 constexpr double kFirstReplicaWeight = 20;
 /// Cost, in seconds, of each request that runs at a candidate.
@@ -256,7 +262,13 @@
 {
   return static_cast<std::uint32_t>(
     std::ranges::count_if(servers_, [&](const auto& aEntry) {
-      return aEntry.second.models_.contains(aModel);
+      // One that is to be unloaded must not justify another unload.
+      return aEntry.second.models_.contains(aModel) &&
+             std::ranges::none_of(
+               aEntry.second.plan_, [&](const PlacementOrder& aOrder) {
+                 return aOrder.verb_ == PlacementVerb::Unload &&
+                        aOrder.adapter_.empty() && aOrder.model_ == aModel;
+               });
     }));
 }
 
@@ -324,7 +336,7 @@
   // A model in use is given up only where the other replicas can carry it.
   if (aServer.active_.contains(aModel) || demand.waiting_ > 0) {
     const double load = demand.waiting_ + demand.inFlight_;
-    if (holders <= 1 || load / (holders - 1) > kLoadPerHolder) {
+    if (holders <= 1 || load / (holders - 1) > kSpareLoadPerHolder) {
       return std::nullopt;
     }
     return kActiveEvictionS;
@@ -456,7 +468,7 @@
     const bool store = candidate ? candidate->tier_ == WeightTier::Store
                                  : OnlyInStore(want.model_);
     if (candidate &&
-        (!store || (StoreLoads() < kStoreLoadsAtOnce && TakeStoreLoad(aNow)))) {
+        (!store || (StoreLoads() < storeLimit_ && TakeStoreLoad(aNow)))) {
       Plan(*candidate, want.model_);
       ahead += store ? 1 : 0;
       continue;
@@ -466,8 +478,7 @@
     }
     if (want.urgent_ && OnlyInStore(want.model_)) {
       // Those ahead share the store; on average half of a load has passed.
-      const double rounds =
-        0.5 + static_cast<double>(ahead) / kStoreLoadsAtOnce;
+      const double rounds = 0.5 + static_cast<double>(ahead) / storeLimit_;
       queued_[want.model_] = aNow + std::chrono::duration_cast<core::Duration>(
                                       rounds * StoreLoadTime(want.model_));
     }
@@ -593,7 +604,7 @@
 void
 ModelPlacement::PlanPrefetch(core::MonotonicTime aNow)
 {
-  if (StoreLoads() >= kPrefetchesAtOnce) {
+  if (2 * StoreLoads() >= storeLimit_) {
     return;
   }
   std::set<core::ModelName> known;
@@ -667,8 +678,13 @@
     return;
   }
   Server& server = found->second;
+  const core::Duration took = aNow - server.changedAt_;
   server.underWay_ = false;
   server.changedAt_ = aNow;
+  if (aCarriedOut && aOrder.verb_ == PlacementVerb::Load &&
+      aOrder.adapter_.empty() && aOrder.tier_ == WeightTier::Store) {
+    LearnStore(took, aOrder.expected_);
+  }
   if (!aCarriedOut) {
     // What follows was planned on its effect.
     server.plan_.clear();
@@ -694,6 +710,18 @@
   server.copies_.onDisk_.insert(aOrder.model_);
 }
 
+void
+ModelPlacement::LearnStore(core::Duration aTook, core::Duration aAlone)
+{
+  const double ratio = Seconds(aTook) / std::max(0.001, Seconds(aAlone));
+  if (ratio > kSharedLoad) {
+    const double fits = storeLimit_ / ratio + 0.5;
+    storeLimit_ = std::max(kFewestStoreLoads, static_cast<std::uint32_t>(fits));
+  } else if (ratio < kFullSpeedLoad && StoreLoads() + 1 >= storeLimit_) {
+    storeLimit_ = std::min(kMostStoreLoads, storeLimit_ + 1);
+  }
+}
+
 std::set<core::ModelName>
 ModelPlacement::Usable(const core::ServerId& aServer) const
 {
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -195,6 +195,8 @@
   /// Whether only the store has a model's weights.
   bool OnlyInStore(const core::ModelName& aModel) const;
   std::uint32_t StoreLoads() const;
+  /// A load from the store took this long, alone it would take aAlone.
+  void LearnStore(core::Duration aTook, core::Duration aAlone);
   bool TakeStoreLoad(core::MonotonicTime aNow);
 
   std::map<ServiceName, EngineLimits> limits_;
@@ -205,6 +207,8 @@
   core::MonotonicTime demandAt_;
   /// When models that wait for the weight store should be there.
   std::map<core::ModelName, core::MonotonicTime> queued_;
+  /// Loads that the store is believed to serve at once at full speed.
+  std::uint32_t storeLimit_ = 2;
   /// Store loads that may begin now.
   double storeTokens_ = 0;
   core::MonotonicTime storeTokensAt_;
--- a/coordination/PlaceQueue.cpp
+++ b/coordination/PlaceQueue.cpp
@@ -26,7 +26,8 @@
 {
   std::vector<std::pair<Id, const PlaceRequest*>> order;
   order.reserve(waiting_.size());
-  for (const auto& [id, request] : waiting_) {
+  for (auto& [id, request] : waiting_) {
+    request.need_.pressed_ = aNow >= request.pressedAt_;
     order.emplace_back(id, &request);
   }
   std::ranges::stable_sort(order, {}, [](const auto& aEntry) {
--- a/coordination/PlaceQueue.hpp
+++ b/coordination/PlaceQueue.hpp
@@ -17,6 +17,8 @@
   std::uint32_t priority_ = 0;
   core::MonotonicTime since_;
   core::MonotonicTime deadline_;
+  /// When it is pressed for a place.
+  core::MonotonicTime pressedAt_ = core::MonotonicTime::max();
 };
 
 /// Requests of one host that wait for a place. Answers a burst: places go to
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -31,8 +31,12 @@
 constexpr std::chrono::milliseconds kBackoff{ 10 };
 /// Answers of other requests that may precede the own one.
 constexpr int kMostStrayAnswers = 3;
+/// How long a request waits when no table of routes is known yet, and the
+/// interval at which it looks for one.
+constexpr std::chrono::milliseconds kRoutesWait{ 1500 };
+constexpr std::chrono::milliseconds kRoutesStep{ 20 };
 /// How long a request waits when no server of its service is known.
-constexpr std::chrono::milliseconds kNoServerWait{ 500 };
+constexpr std::chrono::milliseconds kNoServerWait{ 1000 };
 /// Time that must be left after a place is found: a stream can't begin, nor a
 /// plain request run, in less.
 constexpr std::chrono::milliseconds kStreamReserve{ 400 };
@@ -198,9 +202,28 @@
   return true;
 }
 
+// After a restart of everything the control group needs a moment to elect its
+// leader. The caller would spend its only return on a refusal.
+Task<void>
+GatewayCall::AwaitRoutes()
+{
+  const auto header = request_[gateway_.settings_.headers_.deadlineMs_];
+  const auto left = ParseNumber({ header.data(), header.size() });
+  core::Duration limit = kRoutesWait;
+  if (left) {
+    limit =
+      std::min<core::Duration>(limit, std::chrono::milliseconds(*left / 3));
+  }
+  while (!routes_ && !gone_ && gateway_.clock_.Now() < begin_ + limit) {
+    co_await transport::Sleep(timer_, kRoutesStep);
+    routes_ = gateway_.routes_;
+  }
+}
+
 Task<void>
 GatewayCall::Forward()
 {
+  co_await AwaitRoutes();
   if (!routes_) {
     co_await Refuse(GatewayRefusal::NoRoutes, 503, kRetryAfterDefault);
     co_return;
@@ -343,8 +366,11 @@
     }
   }
   placed_ = false;
-  ticket_ =
-    gateway_.queue_.Add({ need_, route_->priority_, begin_, deadline_ });
+  ticket_ = gateway_.queue_.Add({ need_,
+                                  route_->priority_,
+                                  begin_,
+                                  deadline_,
+                                  begin_ + route_->objective_ / 2 });
   gateway_.waiting_[*ticket_] = this;
   gateway_.AssignPlaces();
   while (!placed_ && !gone_) {
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -47,6 +47,7 @@
   };
 
   bool ReadHeaders();
+  transport::Task<void> AwaitRoutes();
   transport::Task<void> Forward();
   transport::Task<bool> AwaitPlace();
   std::optional<core::MonotonicTime> LatestPlace() const;
@@ -79,7 +80,7 @@
   const std::shared_ptr<transport::CallerLink> link_;
   transport::HttpRequest request_;
   /// Kept while the call runs, whatever is published meanwhile.
-  const std::shared_ptr<const coordination::RouteTable> routes_;
+  std::shared_ptr<const coordination::RouteTable> routes_;
   const coordination::Route* route_ = nullptr;
   coordination::BackendNeed need_;
   std::uint64_t promptTokens_ = 0;
--- a/tests/BackendViewTest.cpp
+++ b/tests/BackendViewTest.cpp
@@ -117,6 +117,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AnEngine)
+
+// With all places taken, the streams of all runs pause for too long; a request
+// that can't be in time any more still gets one.
+BOOST_FIXTURE_TEST_CASE(KeepsPlacesForThoseThatHaveWaited, Fixture)
+{
+  BackendRow row = Row("s1", 10);
+  row.memoryTokens_ = 1000;
+  row.models_ = { core::ModelName("m1") };
+  row.othersInFlight_ = 4;
+  view_.Update(row);
+  PlaceQueue queue;
+  queue.Add({ Need("m1"), 0, kStart, kStart + 10s, kStart + 1s });
+  BOOST_TEST(queue.Assign(view_, kStart, random_).empty());
+  BOOST_TEST(queue.Assign(view_, kStart + 1s, random_).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsChosenBySpeedAndLoad, Fixture)
+{
+  for (const char* id : { "s1", "s2" }) {
+    BackendRow row = Row(id, 64);
+    row.memoryTokens_ = 100000;
+    row.models_ = { core::ModelName("m1") };
+    row.slowness_ = std::string(id) == "s1" ? 2.0 : 0.7;
+    view_.Update(row);
+  }
+  BOOST_TEST(Choose(Need("m1")).server_.Value() == "s2");
+  for (int i = 0; i < 20; ++i) {
+    view_.OnStart(core::ServerId("s2"), 10);
+  }
+  BOOST_TEST(Choose(Need("m1")).server_.Value() == "s1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AFailingServer)
 
 BOOST_FIXTURE_TEST_CASE(IsLeftOutAndComesBack, Fixture)
