--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test run format lint bench-policy clean
+.PHONY: all deps build test run calm-day format lint bench-policy clean
 
 all: build
 
@@ -18,6 +18,10 @@
 run:
 	scripts/run-demo $(ARGS)
 
+# One calm day on the users' bench: make calm-day BENCH=... SITE=...
+calm-day: deps
+	$(BENCH) run $(SITE) quiet-1
+
 format:
 	scripts/check-format --fix
 
