Mend what the linter found in the new code

Change: values that are returned are not const, parameters that are only read are references, no unneeded moves.

--- a/control/GroupHost.cpp
+++ b/control/GroupHost.cpp
@@ -29,8 +29,7 @@
 FirstMembers(std::vector<std::string> aSeeds)
 {
   std::ranges::sort(aSeeds);
-  const auto repeated = std::ranges::unique(aSeeds);
-  aSeeds.erase(repeated.begin(), repeated.end());
+  aSeeds.erase(std::unique(aSeeds.begin(), aSeeds.end()), aSeeds.end());
   state::GroupMembers members;
   for (const std::string& seed : aSeeds) {
     const core::MemberId id = members.highestId_.Next();
@@ -63,7 +62,7 @@
 GroupHost::Start()
 {
   leaderSeen_ = clock_.Now();
-  const core::Status folder = files_.MakeFolder(settings_.dataFolder_);
+  core::Status folder = files_.MakeFolder(settings_.dataFolder_);
   if (!folder.Ok()) {
     return folder;
   }
@@ -395,12 +394,14 @@
       if (name == "log" || name == "snapshot") {
         continue;
       }
-      const core::Status removed = files_.Remove(folder + "/" + name);
+      std::string path = folder;
+      path.append("/").append(name);
+      core::Status removed = files_.Remove(path);
       if (!removed.Ok()) {
         return removed;
       }
     }
-    const core::Status synced = files_.SyncFolder(folder);
+    core::Status synced = files_.SyncFolder(folder);
     if (!synced.Ok()) {
       return synced;
     }
--- a/entry/FleetLink.cpp
+++ b/entry/FleetLink.cpp
@@ -161,9 +161,7 @@
         return true;
       }
     }
-    transport::asio::post(loop_, [this, reply = std::move(reply)]() mutable {
-      learn_(std::move(reply));
-    });
+    transport::asio::post(loop_, [this, reply] { learn_(reply); });
     Pause(kLeastPause);
   }
 }
--- a/entry/FleetLink.hpp
+++ b/entry/FleetLink.hpp
@@ -23,7 +23,7 @@
 {
 public:
   using Report = std::function<wire::SyncRequest()>;
-  using Learn = std::function<void(wire::SyncReply)>;
+  using Learn = std::function<void(const wire::SyncReply&)>;
 
   /// Both functions are called on the loop.
   FleetLink(transport::asio::io_context& aLoop, Report aReport, Learn aLearn);
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -131,7 +131,7 @@
     rpc_->Stop();
   }
 
-  void Serve(const std::string& aId, Answerer aAnswerer)
+  void Serve(const std::string& aId, const Answerer& aAnswerer)
   {
     const std::uint16_t port = tests::FreePort();
     servers_.push_back(std::make_unique<transport::LinkListener>(
