Share the dispatch of member calls; remove what nothing calls

Cause: FleetService wrote ControlDaemon's two-services processor again, and BackendView::HasModel and FreePlaces, PlaceQueue::Ahead and GatewayCall::Need had no caller. Change: control/WithMemberCalls.hpp serves both; the dead functions are gone.

--- a/control/ControlDaemon.cpp
+++ b/control/ControlDaemon.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlDaemon.hpp"
 
+#include "control/WithMemberCalls.hpp"
 #include "core/Log.hpp"
 #include "core/Random.hpp"
 #include "protocol/Problem.hpp"
@@ -16,49 +17,7 @@
 constexpr std::chrono::milliseconds kTransferWait{ 1000 };
 constexpr std::chrono::milliseconds kTransferStep{ 20 };
 
-/// Both services on one port: the method names differ, so that the first
-/// processor that knows a name takes the call.
-class BothServices final : public wire::ControlProcessor
-{
-public:
-  BothServices(std::shared_ptr<wire::ControlIf> aControl,
-               std::shared_ptr<wire::MemberIf> aMember)
-    : wire::ControlProcessor(std::move(aControl))
-    , member_(std::move(aMember))
-  {
-  }
-
-protected:
-  bool dispatchCall(apache::thrift::protocol::TProtocol* aIn,
-                    apache::thrift::protocol::TProtocol* aOut,
-                    const std::string& aName,
-                    std::int32_t aSequence,
-                    void* aContext) override
-  {
-    if (aName == "raft" || aName == "installSnapshot") {
-      return member_.Call(aIn, aOut, aName, aSequence, aContext);
-    }
-    return wire::ControlProcessor::dispatchCall(
-      aIn, aOut, aName, aSequence, aContext);
-  }
-
-private:
-  class MemberProcessor final : public wire::MemberProcessor
-  {
-  public:
-    using wire::MemberProcessor::MemberProcessor;
-    bool Call(apache::thrift::protocol::TProtocol* aIn,
-              apache::thrift::protocol::TProtocol* aOut,
-              const std::string& aName,
-              std::int32_t aSequence,
-              void* aContext)
-    {
-      return dispatchCall(aIn, aOut, aName, aSequence, aContext);
-    }
-  };
-
-  MemberProcessor member_;
-};
+using BothServices = WithMemberCalls<wire::ControlProcessor, wire::ControlIf>;
 
 state::GroupMembers
 FirstMembers(const state::ProcessSettings& aSettings)
--- a/control/FleetService.cpp
+++ b/control/FleetService.cpp
@@ -1,6 +1,7 @@
 #include "control/FleetService.hpp"
 
 #include "control/MemberService.hpp"
+#include "control/WithMemberCalls.hpp"
 
 #include <utility>
 
@@ -64,41 +65,7 @@
   const std::string cluster_;
 };
 
-/// Opens the protected dispatch of the generated processor.
-class MemberCalls final : public wire::MemberProcessor
-{
-public:
-  using wire::MemberProcessor::dispatchCall;
-  using wire::MemberProcessor::MemberProcessor;
-};
-
-class FleetCalls final : public wire::FleetProcessor
-{
-public:
-  FleetCalls(std::shared_ptr<wire::FleetIf> aFleet,
-             std::shared_ptr<wire::MemberIf> aMember)
-    : wire::FleetProcessor(std::move(aFleet))
-    , member_(std::move(aMember))
-  {
-  }
-
-protected:
-  bool dispatchCall(apache::thrift::protocol::TProtocol* aIn,
-                    apache::thrift::protocol::TProtocol* aOut,
-                    const std::string& aName,
-                    std::int32_t aSequence,
-                    void* aContext) override
-  {
-    if (aName == "raft" || aName == "installSnapshot") {
-      return member_.dispatchCall(aIn, aOut, aName, aSequence, aContext);
-    }
-    return wire::FleetProcessor::dispatchCall(
-      aIn, aOut, aName, aSequence, aContext);
-  }
-
-private:
-  MemberCalls member_;
-};
+using FleetCalls = WithMemberCalls<wire::FleetProcessor, wire::FleetIf>;
 
 } // namespace
 
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -261,33 +261,6 @@
   }
 }
 
-bool
-BackendView::HasModel(const ServiceName& aService,
-                      const core::ModelName& aModel) const
-{
-  return std::ranges::any_of(servers_, [&](const auto& aEntry) {
-    const BackendRow& row = aEntry.second.row_;
-    return row.service_ == aService && row.state_ == BackendState::Ready &&
-           row.models_.contains(aModel);
-  });
-}
-
-std::uint32_t
-BackendView::FreePlaces(const BackendNeed& aNeed,
-                        core::MonotonicTime aNow) const
-{
-  std::uint32_t free = 0;
-  for (const auto& [id, server] : servers_) {
-    const BackendRow& row = server.row_;
-    if (row.service_ == aNeed.service_ && row.state_ == BackendState::Ready &&
-        !Out(server, aNow)) {
-      const std::uint32_t used = row.othersInFlight_ + server.use_.inFlight_;
-      free += row.slots_ - std::min(row.slots_, used);
-    }
-  }
-  return free;
-}
-
 std::map<core::ServerId, BackendView::Use>
 BackendView::TakeUses()
 {
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -123,13 +123,6 @@
   /// control group names the model there again.
   void OnMissing(const core::ServerId& aServer, const core::ModelName& aModel);
 
-  /// Whether some server in use has the model.
-  bool HasModel(const ServiceName& aService,
-                const core::ModelName& aModel) const;
-  /// Places that are free at the servers that could run it.
-  std::uint32_t FreePlaces(const BackendNeed& aNeed,
-                           core::MonotonicTime aNow) const;
-
   struct Use
   {
     std::uint32_t inFlight_ = 0;
--- a/coordination/PlaceQueue.cpp
+++ b/coordination/PlaceQueue.cpp
@@ -47,14 +47,4 @@
   return grants;
 }
 
-std::size_t
-PlaceQueue::Ahead(const ServiceName& aService, std::uint32_t aPriority) const
-{
-  return static_cast<std::size_t>(
-    std::ranges::count_if(waiting_, [&](const auto& aEntry) {
-      return aEntry.second.need_.service_ == aService &&
-             aEntry.second.priority_ <= aPriority;
-    }));
-}
-
 } // namespace crocusslip::coordination
--- a/coordination/PlaceQueue.hpp
+++ b/coordination/PlaceQueue.hpp
@@ -42,8 +42,6 @@
                             core::Random& aRandom);
   std::size_t Size() const { return waiting_.size(); }
   const std::map<Id, PlaceRequest>& All() const { return waiting_; }
-  /// How many wait for servers of a service at least as urgently.
-  std::size_t Ahead(const ServiceName& aService, std::uint32_t aPriority) const;
 
 private:
   std::map<Id, PlaceRequest> waiting_;
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -31,7 +31,6 @@
   bool MayWait() const { return LatestPlace().has_value(); }
   /// The time until which it may wait has changed.
   void Recheck() { timer_.cancel(); }
-  const coordination::BackendNeed& Need() const { return need_; }
 
 private:
   enum class Next : std::uint8_t
