--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -1,6 +1,7 @@
 #include "control/FleetController.hpp"
 
 #include "core/Log.hpp"
+#include "protocol/FingerprintWire.hpp"
 
 #include <algorithm>
 #include <set>
@@ -35,6 +36,8 @@
 constexpr std::chrono::seconds kSummaryInterval{ 2 };
 constexpr std::size_t kSummaryModels = 12;
 constexpr std::chrono::milliseconds kLongestWait{ 1000 };
+/// Servers lost by one request from which all hosts are told of it.
+constexpr std::uint32_t kToldServersLost = 2;
 
 std::int64_t
 Milliseconds(core::Duration aTime)
@@ -134,6 +137,7 @@
   routesVersion_ = 0;
   table_ = {};
   placement_ = {};
+  guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   limits_.clear();
   engines_.clear();
   urgentSent_.clear();
@@ -248,6 +252,7 @@
   const core::MonotonicTime now = clock_.Now();
   TakeRoutes();
   table_.Expire(now);
+  guard_.Expire(now);
   placement_.OnDemand(table_.TakeDemand(), now);
   for (const auto& [id, row] : table_.Rows()) {
     if (limits_.contains(row.row_.service_)) {
@@ -536,6 +541,27 @@
   table_.OnDemand(host, demand, aNow);
 }
 
+void
+FleetController::TakeSuspects(const wire::SyncRequest& aRequest,
+                              core::MonotonicTime aNow)
+{
+  for (const wire::Crash& crash : aRequest.crashes) {
+    const core::Digest request = protocol::FromWire(crash.request);
+    guard_.OnBreak(request, core::ServerId(crash.server), aNow);
+    const std::uint32_t lost = guard_.ServersLost(request, aNow);
+    if (lost >= kToldServersLost) {
+      core::Log(core::LogLevel::Warning,
+                "servers were lost from one request",
+                { { "fingerprint", request.Hex() },
+                  { "server", crash.server },
+                  { "servers", std::to_string(lost) } });
+    }
+  }
+  for (const wire::Fingerprint& request : aRequest.completed) {
+    guard_.OnCompleted(protocol::FromWire(request), aNow);
+  }
+}
+
 void
 FleetController::Sync(const wire::SyncRequest& aRequest,
                       wire::SyncReply& aReply)
@@ -548,6 +574,7 @@
   const core::HostId host(aRequest.host);
   const core::Term term = term_;
   TakeReport(aRequest, clock_.Now());
+  TakeSuspects(aRequest, clock_.Now());
   const bool known = aRequest.epoch == static_cast<std::int64_t>(term.Value());
   const auto wait =
     std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
@@ -615,6 +642,12 @@
   }
   aReply.members = group_.MemberAddresses();
   aReply.hosts = static_cast<std::int32_t>(table_.Hosts());
+  for (const auto& suspect : guard_.Suspected(kToldServersLost, aNow)) {
+    wire::Suspect out;
+    out.request = protocol::ToWire(suspect.fingerprint_);
+    out.servers = static_cast<std::int32_t>(suspect.crashes_);
+    aReply.suspects.push_back(std::move(out));
+  }
   for (const auto& [model, ready] : placement_.Coming()) {
     wire::ComingModel coming;
     coming.model = model.Value();
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -2,6 +2,7 @@
 
 #include "control/BackendPort.hpp"
 #include "control/GroupHost.hpp"
+#include "coordination/CrashGuard.hpp"
 #include "coordination/FleetTable.hpp"
 #include "coordination/ModelPlacement.hpp"
 #include "core/Clock.hpp"
@@ -79,6 +80,8 @@
   void ShowModels();
   std::string AddressOf(const core::ServerId& aServer);
   void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
+  void TakeSuspects(const wire::SyncRequest& aRequest,
+                    core::MonotonicTime aNow);
   void Fill(const wire::SyncRequest& aRequest,
             wire::SyncReply& aReply,
             core::MonotonicTime aNow);
@@ -101,6 +104,8 @@
   std::uint64_t routesVersion_ = 0;
   coordination::FleetTable table_;
   coordination::ModelPlacement placement_;
+  /// Requests after which servers broke the connections of several hosts.
+  coordination::CrashGuard guard_{ coordination::CrashGuardSettings{} };
   std::map<coordination::ServiceName, coordination::EngineLimits> limits_;
   std::map<core::ServerId, Engine> engines_;
   std::map<core::HostId, std::uint64_t> urgentSent_;
--- a/coordination/CrashGuard.cpp
+++ b/coordination/CrashGuard.cpp
@@ -48,6 +48,44 @@
   return evidence;
 }
 
+void
+CrashGuard::OnBreak(const core::Digest& aFingerprint,
+                    const core::ServerId& aServer,
+                    core::MonotonicTime aNow)
+{
+  constexpr bool kCertain = false;
+  Blame(aFingerprint, aServer, kCertain, aNow);
+}
+
+std::vector<QuarantineEntry>
+CrashGuard::Suspected(std::uint32_t aServers, core::MonotonicTime aNow) const
+{
+  std::vector<QuarantineEntry> entries;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    const std::uint32_t lost = ServersLost(fingerprint, aNow);
+    if (lost >= aServers) {
+      entries.push_back({ fingerprint, lost });
+    }
+  }
+  return entries;
+}
+
+std::vector<CrashEvidence>
+CrashGuard::Breaks(core::MonotonicTime aNow) const
+{
+  std::vector<CrashEvidence> breaks;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (suspect.cleared_ ||
+        aNow - suspect.lastCrash_ >= settings_.suspectFor_) {
+      continue;
+    }
+    for (const Crash& crash : suspect.crashes_) {
+      breaks.push_back({ {}, fingerprint, crash.server_, false });
+    }
+  }
+  return breaks;
+}
+
 void
 CrashGuard::OnCompleted(const core::Digest& aFingerprint,
                         core::MonotonicTime aNow)
--- a/coordination/CrashGuard.hpp
+++ b/coordination/CrashGuard.hpp
@@ -114,6 +114,10 @@
     const core::ServerId& aServer,
     std::span<const InFlightRequest> aInFlight,
     core::MonotonicTime aNow);
+  /// The connection of one request broke; others at the server may be well.
+  void OnBreak(const core::Digest& aFingerprint,
+               const core::ServerId& aServer,
+               core::MonotonicTime aNow);
   /// The request ran to its end.
   void OnCompleted(const core::Digest& aFingerprint, core::MonotonicTime aNow);
   /// Adds entries of the control group, or raises their counts; a lower count
@@ -126,6 +130,14 @@
 
   CrashVerdict Verdict(const core::Digest& aFingerprint,
                        core::MonotonicTime aNow) const;
+  /// Servers that the request has lost, as far as anyone knows.
+  std::uint32_t ServersLost(const core::Digest& aFingerprint,
+                            core::MonotonicTime aNow) const;
+  /// Suspects that have lost at least so many servers.
+  std::vector<QuarantineEntry> Suspected(std::uint32_t aServers,
+                                         core::MonotonicTime aNow) const;
+  /// The breaks that OnBreak was told of, for a new leader of the group.
+  std::vector<CrashEvidence> Breaks(core::MonotonicTime aNow) const;
   SuspectFigures Explain(const core::Digest& aFingerprint,
                          core::MonotonicTime aNow) const;
   void Expire(core::MonotonicTime aNow);
@@ -153,8 +165,6 @@
   void SetQuarantine(const QuarantineEntry& aEntry);
   void ForgetProven(const core::Digest& aFingerprint);
   void DropOldestSuspect();
-  std::uint32_t ServersLost(const core::Digest& aFingerprint,
-                            core::MonotonicTime aNow) const;
 
   CrashGuardSettings settings_;
   std::unordered_map<core::Digest, Suspect> suspects_;
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.hpp"
 #include "core/Reasons.hpp"
 #include "entry/GatewayCall.hpp"
+#include "protocol/FingerprintWire.hpp"
 
 #include <algorithm>
 #include <array>
@@ -13,6 +14,8 @@
 
 namespace {
 
+using protocol::FromWire;
+using protocol::ToWire;
 using transport::HttpRequest;
 using transport::ReadResult;
 using transport::Task;
@@ -25,6 +28,16 @@
 /// Time kept before the platform's SIGKILL.
 constexpr std::chrono::milliseconds kBeforeKill{ 700 };
 constexpr std::chrono::milliseconds kDrainStep{ 50 };
+/// Idle connections that a host keeps to one server, and the share of a
+/// server's connections that those of all hosts may take; the rest is for
+/// requests that run.
+constexpr std::size_t kMostIdle = 8;
+constexpr double kIdleShare = 0.5;
+/// Servers that a request may lose before it is held back. Two may fail beside
+/// an innocent one; the users allow three more runs after the third.
+constexpr std::uint32_t kServersLost = 3;
+/// Requests that are remembered as suspects, or as cleared of it.
+constexpr std::size_t kSuspects = 512;
 
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
   "no_routes_yet", "no_route",      "no_server",   "no_model",
@@ -69,6 +82,11 @@
   , instance_(static_cast<std::int64_t>(random_.Next() >> 2U))
   , counters_(std::make_unique<Counters>(metrics_))
   , view_(settings_.failureDomain_)
+  , guard_({ kServersLost,
+             std::chrono::seconds(2),
+             std::chrono::minutes(10),
+             kSuspects,
+             kSuspects })
   , fleet_(
       aLoop,
       [this] { return Report(); },
@@ -224,6 +242,7 @@
     co_await transport::Sleep(timer, kHousekeeping);
     pool_.Trim();
     AssignPlaces();
+    guard_.Expire(clock_.Now());
     std::erase_if(models_, [](const auto& aEntry) {
       return aEntry.second.inFlight_ == 0 && aEntry.second.arrivals_ == 0;
     });
@@ -299,6 +318,19 @@
   return budget;
 }
 
+std::size_t
+Gateway::MostIdle(const coordination::ServiceName& aService) const
+{
+  const coordination::Service* service =
+    routes_ ? routes_->FindService(aService) : nullptr;
+  if (service == nullptr || service->maxConnections_ == 0 || hosts_ == 0) {
+    return kMostIdle;
+  }
+  const auto share = static_cast<std::size_t>(
+    kIdleShare * service->maxConnections_ / static_cast<double>(hosts_));
+  return std::clamp<std::size_t>(share, 1, kMostIdle);
+}
+
 void
 Gateway::CountRefusal(GatewayRefusal aReason)
 {
@@ -378,6 +410,7 @@
     request.models.push_back(std::move(use));
   }
   request.crashes = std::exchange(crashes_, {});
+  request.completed = std::exchange(completed_, {});
   return request;
 }
 
@@ -385,6 +418,7 @@
 Gateway::Learn(const wire::SyncReply& aReply)
 {
   LearnRoutes(aReply);
+  LearnSuspects(aReply);
   LearnRows(aReply);
   if (aReply.hosts > 0 && hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
     hosts_ = static_cast<std::uint32_t>(aReply.hosts);
@@ -392,8 +426,6 @@
       budget.SetHosts(hosts_);
     }
   }
-  quarantine_ =
-    std::set<std::string>(aReply.quarantine.begin(), aReply.quarantine.end());
   const core::MonotonicTime now = clock_.Now();
   coming_.clear();
   for (const wire::ComingModel& model : aReply.coming) {
@@ -433,6 +465,49 @@
               { "routes", std::to_string(routes_->Routes().size()) } });
 }
 
+void
+Gateway::NoteBreak(const core::Digest& aFingerprint,
+                   const core::ServerId& aServer)
+{
+  guard_.OnBreak(aFingerprint, aServer, clock_.Now());
+  wire::Crash crash;
+  crash.request = ToWire(aFingerprint);
+  crash.server = aServer.Value();
+  crashes_.push_back(std::move(crash));
+}
+
+void
+Gateway::NoteCompleted(const core::Digest& aFingerprint)
+{
+  if (guard_.ServersLost(aFingerprint, clock_.Now()) > 0) {
+    guard_.OnCompleted(aFingerprint, clock_.Now());
+    completed_.push_back(ToWire(aFingerprint));
+  }
+}
+
+void
+Gateway::LearnSuspects(const wire::SyncReply& aReply)
+{
+  if (aReply.epoch != epoch_) {
+    // A new leader knows nothing yet of what this host has met.
+    crashes_.clear();
+    for (const auto& seen : guard_.Breaks(clock_.Now())) {
+      wire::Crash crash;
+      crash.request = ToWire(seen.fingerprint_);
+      crash.server = seen.server_.Value();
+      crashes_.push_back(std::move(crash));
+    }
+    return;
+  }
+  std::vector<coordination::QuarantineEntry> entries;
+  for (const wire::Suspect& suspect : aReply.suspects) {
+    entries.push_back(
+      { FromWire(suspect.request),
+        static_cast<std::uint32_t>(std::max(0, suspect.servers)) });
+  }
+  guard_.ReplaceQuarantine(entries);
+}
+
 void
 Gateway::LearnRows(const wire::SyncReply& aReply)
 {
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/BackendView.hpp"
+#include "coordination/CrashGuard.hpp"
 #include "coordination/PlaceQueue.hpp"
 #include "coordination/RouteTable.hpp"
 #include "coordination/SharedRetryBudget.hpp"
@@ -82,11 +83,18 @@
   void Learn(const wire::SyncReply& aReply);
   void LearnRoutes(const wire::SyncReply& aReply);
   void LearnRows(const wire::SyncReply& aReply);
+  void LearnSuspects(const wire::SyncReply& aReply);
+  /// The request broke a server's connection, or ran to its end.
+  void NoteBreak(const core::Digest& aFingerprint,
+                 const core::ServerId& aServer);
+  void NoteCompleted(const core::Digest& aFingerprint);
 
   /// Gives free places to waiting calls.
   void AssignPlaces();
   coordination::SharedRetryBudget& BudgetOf(
     const coordination::ServiceName& aService);
+  /// Idle connections that this host may keep to a server of the service.
+  std::size_t MostIdle(const coordination::ServiceName& aService) const;
   void CountRefusal(GatewayRefusal aReason);
 
   transport::asio::io_context& loop_;
@@ -116,8 +124,10 @@
   std::map<core::ModelName, ModelUse> models_;
   /// Models that run now, by server.
   std::map<core::ServerId, std::multiset<core::ModelName>> active_;
+  /// Requests after which servers broke their connections.
+  coordination::CrashGuard guard_;
   std::vector<wire::Crash> crashes_;
-  std::set<std::string> quarantine_;
+  std::vector<wire::Fingerprint> completed_;
 
   std::int64_t epoch_ = 0;
   std::int64_t seen_ = 0;
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -199,7 +199,7 @@
       { "silent", aServer.TimedOut() ? "yes" : "no" },
       { "last_event", lastEvent_ ? std::to_string(*lastEvent_) : "none" } });
   if (!aServer.TimedOut()) {
-    NoteCrash();
+    gateway_.NoteBreak(fingerprint_, choice_.server_);
   }
   Finish(SendOutcome::Failed);
   co_return Next::RetryMaybeRun;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -48,6 +48,8 @@
 constexpr std::chrono::milliseconds kLeastSlow{ 150 };
 /// Retry-After when nothing better is known.
 constexpr std::chrono::milliseconds kRetryAfterDefault{ 500 };
+/// Servers lost by a request from which it is not sent again.
+constexpr std::uint32_t kSuspectServers = 2;
 /// Time kept for the way back of an answer.
 constexpr std::chrono::milliseconds kReturnTime{ 10 };
 
@@ -121,6 +123,7 @@
   co_await Forward();
   finished_ = true;
   if (served_) {
+    gateway_.NoteCompleted(fingerprint_);
     LogEnd("served");
   }
   link_->CancelWait();
@@ -181,8 +184,9 @@
     }
   }
   const auto target = request_.target();
-  fingerprint_ = std::to_string(core::Hash64(
-    std::string(target.data(), target.size()) + "\n" + request_.body()));
+  fingerprint_ = coordination::FingerprintOf(
+    core::DeploymentId(std::string(target.data(), target.size())),
+    request_.body());
   return true;
 }
 
@@ -224,7 +228,8 @@
     co_await Refuse(GatewayRefusal::NoModel, 503, std::nullopt);
     co_return;
   }
-  if (gateway_.quarantine_.contains(fingerprint_)) {
+  if (gateway_.guard_.Verdict(fingerprint_, begin_) ==
+      coordination::CrashVerdict::Hold) {
     co_await Refuse(GatewayRefusal::Quarantined, 503, std::nullopt);
     co_return;
   }
@@ -295,6 +300,11 @@
       (!route_->Repeatable() || runs_ >= route_->maxAttempts_)) {
     return false;
   }
+  // After two lost servers only the caller may try a third one.
+  if (gateway_.guard_.ServersLost(fingerprint_, gateway_.clock_.Now()) >=
+      kSuspectServers) {
+    return false;
+  }
   const bool granted =
     gateway_.BudgetOf(need_.service_).TryTake(gateway_.clock_.Now());
   if (!granted) {
@@ -529,7 +539,8 @@
     }
   }
   if (link->Reusable() && !gone_) {
-    gateway_.pool_.Put(choice_.server_, std::move(link));
+    gateway_.pool_.Put(
+      choice_.server_, std::move(link), gateway_.MostIdle(need_.service_));
   } else {
     link->Abort();
   }
@@ -565,7 +576,7 @@
     co_return Next::Done;
   }
   if (!aServer.TimedOut()) {
-    NoteCrash();
+    gateway_.NoteBreak(fingerprint_, choice_.server_);
   }
   core::Log(core::LogLevel::Info,
             "no answer from server",
@@ -589,15 +600,6 @@
   gateway_.AssignPlaces();
 }
 
-void
-GatewayCall::NoteCrash()
-{
-  wire::Crash crash;
-  crash.fingerprint = fingerprint_;
-  crash.server = choice_.server_.Value();
-  gateway_.crashes_.push_back(std::move(crash));
-}
-
 Task<void>
 GatewayCall::Refuse(GatewayRefusal aReason,
                     unsigned aStatus,
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Hash.hpp"
 #include "entry/Gateway.hpp"
 #include "protocol/EventStream.hpp"
 
@@ -65,7 +66,6 @@
   core::Duration Left() const;
   bool MayRepeat(Next aNext);
   void Finish(coordination::SendOutcome aOutcome);
-  void NoteCrash();
   void NoteEvents();
   transport::Task<void> Refuse(GatewayRefusal aReason,
                                unsigned aStatus,
@@ -84,7 +84,7 @@
   coordination::BackendNeed need_;
   std::uint64_t promptTokens_ = 0;
   std::string id_;
-  std::string fingerprint_;
+  core::Digest fingerprint_;
   core::MonotonicTime begin_;
   core::MonotonicTime deadline_;
 
--- a/entry/ServerPool.cpp
+++ b/entry/ServerPool.cpp
@@ -10,8 +10,6 @@
 
 using Steady = std::chrono::steady_clock;
 
-/// Idle connections kept for one server.
-constexpr std::size_t kMostIdle = 8;
 /// Servers that do not say how long they keep a connection are trusted this
 /// long, the others for half of what they said.
 constexpr std::chrono::milliseconds kTrusted{ 4000 };
@@ -48,12 +46,13 @@
 
 void
 ServerPool::Put(const core::ServerId& aServer,
-                std::unique_ptr<transport::ServerLink> aLink)
+                std::unique_ptr<transport::ServerLink> aLink,
+                std::size_t aMost)
 {
   aLink->idleSince_ = Steady::now();
   auto& links = idle_[aServer];
   links.push_back(std::move(aLink));
-  if (links.size() > kMostIdle) {
+  while (links.size() > aMost) {
     links.pop_front();
   }
 }
--- a/entry/ServerPool.hpp
+++ b/entry/ServerPool.hpp
@@ -16,8 +16,10 @@
   /// The connection used last that is still open and not about to be closed by
   /// its server; nothing when there is none.
   std::unique_ptr<transport::ServerLink> Take(const core::ServerId& aServer);
+  /// Keeps at most aMost idle connections to the server.
   void Put(const core::ServerId& aServer,
-           std::unique_ptr<transport::ServerLink> aLink);
+           std::unique_ptr<transport::ServerLink> aLink,
+           std::size_t aMost);
   void Drop(const core::ServerId& aServer);
   /// Closes connections that have been idle for long.
   void Trim();
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -538,25 +538,25 @@
 }
 
 
-Crash::~Crash() noexcept {
+Fingerprint::~Fingerprint() noexcept {
 }
 
 
-void Crash::__set_fingerprint(const std::string& val) {
-  this->fingerprint = val;
+void Fingerprint::__set_high(const int64_t val) {
+  this->high = val;
 }
 
-void Crash::__set_server(const std::string& val) {
-  this->server = val;
+void Fingerprint::__set_low(const int64_t val) {
+  this->low = val;
 }
-std::ostream& operator<<(std::ostream& out, const Crash& obj)
+std::ostream& operator<<(std::ostream& out, const Fingerprint& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Crash::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Fingerprint::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -578,13 +578,117 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->fingerprint);
-          this->__isset.fingerprint = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->high);
+          this->__isset.high = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->low);
+          this->__isset.low = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Fingerprint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Fingerprint");
+
+  xfer += oprot->writeFieldBegin("high", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->high);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("low", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->low);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Fingerprint &a, Fingerprint &b) {
+  using ::std::swap;
+  swap(a.high, b.high);
+  swap(a.low, b.low);
+  swap(a.__isset, b.__isset);
+}
+
+Fingerprint::Fingerprint(const Fingerprint& other16) noexcept {
+  high = other16.high;
+  low = other16.low;
+  __isset = other16.__isset;
+}
+Fingerprint& Fingerprint::operator=(const Fingerprint& other17) noexcept {
+  high = other17.high;
+  low = other17.low;
+  __isset = other17.__isset;
+  return *this;
+}
+void Fingerprint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Fingerprint(";
+  out << "high=" << to_string(high);
+  out << ", " << "low=" << to_string(low);
+  out << ")";
+}
+
+
+Crash::~Crash() noexcept {
+}
+
+
+void Crash::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void Crash::__set_request(const Fingerprint& val) {
+  this->request = val;
+}
+std::ostream& operator<<(std::ostream& out, const Crash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Crash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->server);
@@ -593,6 +697,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -610,14 +722,14 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Crash");
 
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -625,27 +737,139 @@
 
 void swap(Crash &a, Crash &b) {
   using ::std::swap;
-  swap(a.fingerprint, b.fingerprint);
   swap(a.server, b.server);
+  swap(a.request, b.request);
   swap(a.__isset, b.__isset);
 }
 
-Crash::Crash(const Crash& other16) {
-  fingerprint = other16.fingerprint;
-  server = other16.server;
-  __isset = other16.__isset;
+Crash::Crash(const Crash& other18) {
+  server = other18.server;
+  request = other18.request;
+  __isset = other18.__isset;
 }
-Crash& Crash::operator=(const Crash& other17) {
-  fingerprint = other17.fingerprint;
-  server = other17.server;
-  __isset = other17.__isset;
+Crash& Crash::operator=(const Crash& other19) {
+  server = other19.server;
+  request = other19.request;
+  __isset = other19.__isset;
   return *this;
 }
 void Crash::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Crash(";
-  out << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "server=" << to_string(server);
+  out << "server=" << to_string(server);
+  out << ", " << "request=" << to_string(request);
+  out << ")";
+}
+
+
+Suspect::~Suspect() noexcept {
+}
+
+
+void Suspect::__set_request(const Fingerprint& val) {
+  this->request = val;
+}
+
+void Suspect::__set_servers(const int32_t val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const Suspect& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Suspect::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Suspect::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Suspect");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Suspect &a, Suspect &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+Suspect::Suspect(const Suspect& other20) noexcept {
+  request = other20.request;
+  servers = other20.servers;
+  __isset = other20.__isset;
+}
+Suspect& Suspect::operator=(const Suspect& other21) noexcept {
+  request = other21.request;
+  servers = other21.servers;
+  __isset = other21.__isset;
+  return *this;
+}
+void Suspect::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Suspect(";
+  out << "request=" << to_string(request);
+  out << ", " << "servers=" << to_string(servers);
   out << ")";
 }
 
@@ -693,6 +917,10 @@
 void SyncRequest::__set_waitMs(const int32_t val) {
   this->waitMs = val;
 }
+
+void SyncRequest::__set_completed(const std::vector<Fingerprint> & val) {
+  this->completed = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -773,14 +1001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->uses.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->uses.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->uses[_i22].read(iprot);
+              xfer += this->uses[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -793,14 +1021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->models.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->models.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->models[_i27].read(iprot);
+              xfer += this->models[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -813,14 +1041,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->crashes.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->crashes.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->crashes[_i32].read(iprot);
+              xfer += this->crashes[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -837,6 +1065,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->completed.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->completed.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->completed[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.completed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -881,10 +1129,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter33;
-    for (_iter33 = this->uses.begin(); _iter33 != this->uses.end(); ++_iter33)
+    std::vector<ServerUse> ::const_iterator _iter42;
+    for (_iter42 = this->uses.begin(); _iter42 != this->uses.end(); ++_iter42)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -893,10 +1141,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUse> ::const_iterator _iter34;
-    for (_iter34 = this->models.begin(); _iter34 != this->models.end(); ++_iter34)
+    std::vector<ModelUse> ::const_iterator _iter43;
+    for (_iter43 = this->models.begin(); _iter43 != this->models.end(); ++_iter43)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -905,10 +1153,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter35;
-    for (_iter35 = this->crashes.begin(); _iter35 != this->crashes.end(); ++_iter35)
+    std::vector<Crash> ::const_iterator _iter44;
+    for (_iter44 = this->crashes.begin(); _iter44 != this->crashes.end(); ++_iter44)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -918,6 +1166,18 @@
   xfer += oprot->writeI32(this->waitMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completed.size()));
+    std::vector<Fingerprint> ::const_iterator _iter45;
+    for (_iter45 = this->completed.begin(); _iter45 != this->completed.end(); ++_iter45)
+    {
+      xfer += (*_iter45).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -935,34 +1195,37 @@
   swap(a.models, b.models);
   swap(a.crashes, b.crashes);
   swap(a.waitMs, b.waitMs);
+  swap(a.completed, b.completed);
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other36) {
-  host = other36.host;
-  failureDomain = other36.failureDomain;
-  instance = other36.instance;
-  epoch = other36.epoch;
-  seen = other36.seen;
-  routesVersion = other36.routesVersion;
-  uses = other36.uses;
-  models = other36.models;
-  crashes = other36.crashes;
-  waitMs = other36.waitMs;
-  __isset = other36.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other37) {
-  host = other37.host;
-  failureDomain = other37.failureDomain;
-  instance = other37.instance;
-  epoch = other37.epoch;
-  seen = other37.seen;
-  routesVersion = other37.routesVersion;
-  uses = other37.uses;
-  models = other37.models;
-  crashes = other37.crashes;
-  waitMs = other37.waitMs;
-  __isset = other37.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other46) {
+  host = other46.host;
+  failureDomain = other46.failureDomain;
+  instance = other46.instance;
+  epoch = other46.epoch;
+  seen = other46.seen;
+  routesVersion = other46.routesVersion;
+  uses = other46.uses;
+  models = other46.models;
+  crashes = other46.crashes;
+  waitMs = other46.waitMs;
+  completed = other46.completed;
+  __isset = other46.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other47) {
+  host = other47.host;
+  failureDomain = other47.failureDomain;
+  instance = other47.instance;
+  epoch = other47.epoch;
+  seen = other47.seen;
+  routesVersion = other47.routesVersion;
+  uses = other47.uses;
+  models = other47.models;
+  crashes = other47.crashes;
+  waitMs = other47.waitMs;
+  completed = other47.completed;
+  __isset = other47.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -978,6 +1241,7 @@
   out << ", " << "models=" << to_string(models);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "completed=" << to_string(completed);
   out << ")";
 }
 
@@ -1117,14 +1381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->models.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->models.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += iprot->readString(this->models[_i42]);
+              xfer += iprot->readString(this->models[_i52]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1161,14 +1425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->coming.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->coming.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += iprot->readString(this->coming[_i47]);
+              xfer += iprot->readString(this->coming[_i57]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1237,10 +1501,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter48;
-    for (_iter48 = this->models.begin(); _iter48 != this->models.end(); ++_iter48)
+    std::vector<std::string> ::const_iterator _iter58;
+    for (_iter58 = this->models.begin(); _iter58 != this->models.end(); ++_iter58)
     {
-      xfer += oprot->writeString((*_iter48));
+      xfer += oprot->writeString((*_iter58));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1261,10 +1525,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter49;
-    for (_iter49 = this->coming.begin(); _iter49 != this->coming.end(); ++_iter49)
+    std::vector<std::string> ::const_iterator _iter59;
+    for (_iter59 = this->coming.begin(); _iter59 != this->coming.end(); ++_iter59)
     {
-      xfer += oprot->writeString((*_iter49));
+      xfer += oprot->writeString((*_iter59));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1301,37 +1565,37 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRow::ServerRow(const ServerRow& other50) {
-  server = other50.server;
-  address = other50.address;
-  serviceName = other50.serviceName;
-  failureDomain = other50.failureDomain;
-  state = other50.state;
-  slots = other50.slots;
-  models = other50.models;
-  inFlight = other50.inFlight;
-  tokens = other50.tokens;
-  suspect = other50.suspect;
-  coming = other50.coming;
-  memoryTokens = other50.memoryTokens;
-  speedPercent = other50.speedPercent;
-  __isset = other50.__isset;
-}
-ServerRow& ServerRow::operator=(const ServerRow& other51) {
-  server = other51.server;
-  address = other51.address;
-  serviceName = other51.serviceName;
-  failureDomain = other51.failureDomain;
-  state = other51.state;
-  slots = other51.slots;
-  models = other51.models;
-  inFlight = other51.inFlight;
-  tokens = other51.tokens;
-  suspect = other51.suspect;
-  coming = other51.coming;
-  memoryTokens = other51.memoryTokens;
-  speedPercent = other51.speedPercent;
-  __isset = other51.__isset;
+ServerRow::ServerRow(const ServerRow& other60) {
+  server = other60.server;
+  address = other60.address;
+  serviceName = other60.serviceName;
+  failureDomain = other60.failureDomain;
+  state = other60.state;
+  slots = other60.slots;
+  models = other60.models;
+  inFlight = other60.inFlight;
+  tokens = other60.tokens;
+  suspect = other60.suspect;
+  coming = other60.coming;
+  memoryTokens = other60.memoryTokens;
+  speedPercent = other60.speedPercent;
+  __isset = other60.__isset;
+}
+ServerRow& ServerRow::operator=(const ServerRow& other61) {
+  server = other61.server;
+  address = other61.address;
+  serviceName = other61.serviceName;
+  failureDomain = other61.failureDomain;
+  state = other61.state;
+  slots = other61.slots;
+  models = other61.models;
+  inFlight = other61.inFlight;
+  tokens = other61.tokens;
+  suspect = other61.suspect;
+  coming = other61.coming;
+  memoryTokens = other61.memoryTokens;
+  speedPercent = other61.speedPercent;
+  __isset = other61.__isset;
   return *this;
 }
 void ServerRow::printTo(std::ostream& out) const {
@@ -1446,15 +1710,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other52) {
-  model = other52.model;
-  readyInMs = other52.readyInMs;
-  __isset = other52.__isset;
+ComingModel::ComingModel(const ComingModel& other62) {
+  model = other62.model;
+  readyInMs = other62.readyInMs;
+  __isset = other62.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other53) {
-  model = other53.model;
-  readyInMs = other53.readyInMs;
-  __isset = other53.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other63) {
+  model = other63.model;
+  readyInMs = other63.readyInMs;
+  __isset = other63.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -1506,10 +1770,6 @@
   this->members = val;
 }
 
-void SyncReply::__set_quarantine(const std::vector<std::string> & val) {
-  this->quarantine = val;
-}
-
 void SyncReply::__set_hosts(const int32_t val) {
   this->hosts = val;
 }
@@ -1517,6 +1777,10 @@
 void SyncReply::__set_coming(const std::vector<ComingModel> & val) {
   this->coming = val;
 }
+
+void SyncReply::__set_suspects(const std::vector<Suspect> & val) {
+  this->suspects = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1589,14 +1853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->rows.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->rows.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->rows[_i58].read(iprot);
+              xfer += this->rows[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1625,14 +1889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->members.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->members.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += iprot->readString(this->members[_i63]);
+              xfer += iprot->readString(this->members[_i73]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1641,26 +1905,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->quarantine.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->quarantine.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
-            {
-              xfer += iprot->readString(this->quarantine[_i68]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.quarantine = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->hosts);
@@ -1673,14 +1917,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->coming.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->coming.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->coming[_i73].read(iprot);
+              xfer += this->coming[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1689,6 +1933,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->suspects.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
+            {
+              xfer += this->suspects[_i83].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1729,10 +1993,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter74;
-    for (_iter74 = this->rows.begin(); _iter74 != this->rows.end(); ++_iter74)
+    std::vector<ServerRow> ::const_iterator _iter84;
+    for (_iter84 = this->rows.begin(); _iter84 != this->rows.end(); ++_iter84)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1749,38 +2013,38 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter75;
-    for (_iter75 = this->members.begin(); _iter75 != this->members.end(); ++_iter75)
+    std::vector<std::string> ::const_iterator _iter85;
+    for (_iter85 = this->members.begin(); _iter85 != this->members.end(); ++_iter85)
     {
-      xfer += oprot->writeString((*_iter75));
+      xfer += oprot->writeString((*_iter85));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 10);
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->hosts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quarantine.size()));
-    std::vector<std::string> ::const_iterator _iter76;
-    for (_iter76 = this->quarantine.begin(); _iter76 != this->quarantine.end(); ++_iter76)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
+    std::vector<ComingModel> ::const_iterator _iter86;
+    for (_iter86 = this->coming.begin(); _iter86 != this->coming.end(); ++_iter86)
     {
-      xfer += oprot->writeString((*_iter76));
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(this->hosts);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter77;
-    for (_iter77 = this->coming.begin(); _iter77 != this->coming.end(); ++_iter77)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<Suspect> ::const_iterator _iter87;
+    for (_iter87 = this->suspects.begin(); _iter87 != this->suspects.end(); ++_iter87)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1802,41 +2066,41 @@
   swap(a.routesVersion, b.routesVersion);
   swap(a.routes, b.routes);
   swap(a.members, b.members);
-  swap(a.quarantine, b.quarantine);
   swap(a.hosts, b.hosts);
   swap(a.coming, b.coming);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other78) {
-  leader = other78.leader;
-  leaderAddress = other78.leaderAddress;
-  epoch = other78.epoch;
-  seen = other78.seen;
-  complete = other78.complete;
-  rows = other78.rows;
-  routesVersion = other78.routesVersion;
-  routes = other78.routes;
-  members = other78.members;
-  quarantine = other78.quarantine;
-  hosts = other78.hosts;
-  coming = other78.coming;
-  __isset = other78.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other79) {
-  leader = other79.leader;
-  leaderAddress = other79.leaderAddress;
-  epoch = other79.epoch;
-  seen = other79.seen;
-  complete = other79.complete;
-  rows = other79.rows;
-  routesVersion = other79.routesVersion;
-  routes = other79.routes;
-  members = other79.members;
-  quarantine = other79.quarantine;
-  hosts = other79.hosts;
-  coming = other79.coming;
-  __isset = other79.__isset;
+SyncReply::SyncReply(const SyncReply& other88) {
+  leader = other88.leader;
+  leaderAddress = other88.leaderAddress;
+  epoch = other88.epoch;
+  seen = other88.seen;
+  complete = other88.complete;
+  rows = other88.rows;
+  routesVersion = other88.routesVersion;
+  routes = other88.routes;
+  members = other88.members;
+  hosts = other88.hosts;
+  coming = other88.coming;
+  suspects = other88.suspects;
+  __isset = other88.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other89) {
+  leader = other89.leader;
+  leaderAddress = other89.leaderAddress;
+  epoch = other89.epoch;
+  seen = other89.seen;
+  complete = other89.complete;
+  rows = other89.rows;
+  routesVersion = other89.routesVersion;
+  routes = other89.routes;
+  members = other89.members;
+  hosts = other89.hosts;
+  coming = other89.coming;
+  suspects = other89.suspects;
+  __isset = other89.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -1851,9 +2115,9 @@
   out << ", " << "routesVersion=" << to_string(routesVersion);
   out << ", " << "routes=" << to_string(routes);
   out << ", " << "members=" << to_string(members);
-  out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "hosts=" << to_string(hosts);
   out << ", " << "coming=" << to_string(coming);
+  out << ", " << "suspects=" << to_string(suspects);
   out << ")";
 }
 
@@ -1984,19 +2248,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other80) {
-  address = other80.address;
-  failureDomain = other80.failureDomain;
-  disk = other80.disk;
-  member = other80.member;
-  __isset = other80.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other90) {
+  address = other90.address;
+  failureDomain = other90.failureDomain;
+  disk = other90.disk;
+  member = other90.member;
+  __isset = other90.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other81) {
-  address = other81.address;
-  failureDomain = other81.failureDomain;
-  disk = other81.disk;
-  member = other81.member;
-  __isset = other81.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other91) {
+  address = other91.address;
+  failureDomain = other91.failureDomain;
+  disk = other91.disk;
+  member = other91.member;
+  __isset = other91.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -2089,14 +2353,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->members.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->members.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readString(this->members[_i86]);
+              xfer += iprot->readString(this->members[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2109,14 +2373,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->memberIds.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->memberIds.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readI32(this->memberIds[_i91]);
+              xfer += iprot->readI32(this->memberIds[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2157,10 +2421,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->members.begin(); _iter92 != this->members.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter102;
+    for (_iter102 = this->members.begin(); _iter102 != this->members.end(); ++_iter102)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter102));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2169,10 +2433,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter93;
-    for (_iter93 = this->memberIds.begin(); _iter93 != this->memberIds.end(); ++_iter93)
+    std::vector<int32_t> ::const_iterator _iter103;
+    for (_iter103 = this->memberIds.begin(); _iter103 != this->memberIds.end(); ++_iter103)
     {
-      xfer += oprot->writeI32((*_iter93));
+      xfer += oprot->writeI32((*_iter103));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2193,21 +2457,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other94) {
-  leader = other94.leader;
-  leaderAddress = other94.leaderAddress;
-  member = other94.member;
-  members = other94.members;
-  memberIds = other94.memberIds;
-  __isset = other94.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other95) {
-  leader = other95.leader;
-  leaderAddress = other95.leaderAddress;
-  member = other95.member;
-  members = other95.members;
-  memberIds = other95.memberIds;
-  __isset = other95.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other104) {
+  leader = other104.leader;
+  leaderAddress = other104.leaderAddress;
+  member = other104.member;
+  members = other104.members;
+  memberIds = other104.memberIds;
+  __isset = other104.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other105) {
+  leader = other105.leader;
+  leaderAddress = other105.leaderAddress;
+  member = other105.member;
+  members = other105.members;
+  memberIds = other105.memberIds;
+  __isset = other105.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -25,8 +25,12 @@
 
 class ModelUse;
 
+class Fingerprint;
+
 class Crash;
 
+class Suspect;
+
 class SyncRequest;
 
 class ServerRow;
@@ -228,10 +232,60 @@
 
 std::ostream& operator<<(std::ostream& out, const ModelUse& obj);
 
+typedef struct _Fingerprint__isset {
+  _Fingerprint__isset() : high(false), low(false) {}
+  bool high :1;
+  bool low :1;
+} _Fingerprint__isset;
+
+class Fingerprint : public virtual ::apache::thrift::TBase {
+ public:
+
+  Fingerprint(const Fingerprint&) noexcept;
+  Fingerprint& operator=(const Fingerprint&) noexcept;
+  Fingerprint() noexcept
+              : high(0),
+                low(0) {
+  }
+
+  virtual ~Fingerprint() noexcept;
+  int64_t high;
+  int64_t low;
+
+  _Fingerprint__isset __isset;
+
+  void __set_high(const int64_t val);
+
+  void __set_low(const int64_t val);
+
+  bool operator == (const Fingerprint & rhs) const
+  {
+    if (!(high == rhs.high))
+      return false;
+    if (!(low == rhs.low))
+      return false;
+    return true;
+  }
+  bool operator != (const Fingerprint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Fingerprint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Fingerprint &a, Fingerprint &b);
+
+std::ostream& operator<<(std::ostream& out, const Fingerprint& obj);
+
 typedef struct _Crash__isset {
-  _Crash__isset() : fingerprint(false), server(false) {}
-  bool fingerprint :1;
+  _Crash__isset() : server(false), request(false) {}
   bool server :1;
+  bool request :1;
 } _Crash__isset;
 
 class Crash : public virtual ::apache::thrift::TBase {
@@ -240,26 +294,25 @@
   Crash(const Crash&);
   Crash& operator=(const Crash&);
   Crash() noexcept
-        : fingerprint(),
-          server() {
+        : server() {
   }
 
   virtual ~Crash() noexcept;
-  std::string fingerprint;
   std::string server;
+  Fingerprint request;
 
   _Crash__isset __isset;
 
-  void __set_fingerprint(const std::string& val);
-
   void __set_server(const std::string& val);
 
+  void __set_request(const Fingerprint& val);
+
   bool operator == (const Crash & rhs) const
   {
-    if (!(fingerprint == rhs.fingerprint))
-      return false;
     if (!(server == rhs.server))
       return false;
+    if (!(request == rhs.request))
+      return false;
     return true;
   }
   bool operator != (const Crash &rhs) const {
@@ -278,8 +331,57 @@
 
 std::ostream& operator<<(std::ostream& out, const Crash& obj);
 
+typedef struct _Suspect__isset {
+  _Suspect__isset() : request(false), servers(false) {}
+  bool request :1;
+  bool servers :1;
+} _Suspect__isset;
+
+class Suspect : public virtual ::apache::thrift::TBase {
+ public:
+
+  Suspect(const Suspect&) noexcept;
+  Suspect& operator=(const Suspect&) noexcept;
+  Suspect() noexcept
+          : servers(0) {
+  }
+
+  virtual ~Suspect() noexcept;
+  Fingerprint request;
+  int32_t servers;
+
+  _Suspect__isset __isset;
+
+  void __set_request(const Fingerprint& val);
+
+  void __set_servers(const int32_t val);
+
+  bool operator == (const Suspect & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const Suspect &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Suspect & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Suspect &a, Suspect &b);
+
+std::ostream& operator<<(std::ostream& out, const Suspect& obj);
+
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false) {}
+  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false) {}
   bool host :1;
   bool failureDomain :1;
   bool instance :1;
@@ -290,6 +392,7 @@
   bool models :1;
   bool crashes :1;
   bool waitMs :1;
+  bool completed :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -318,6 +421,7 @@
   std::vector<ModelUse>  models;
   std::vector<Crash>  crashes;
   int32_t waitMs;
+  std::vector<Fingerprint>  completed;
 
   _SyncRequest__isset __isset;
 
@@ -341,6 +445,8 @@
 
   void __set_waitMs(const int32_t val);
 
+  void __set_completed(const std::vector<Fingerprint> & val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(host == rhs.host))
@@ -363,6 +469,8 @@
       return false;
     if (!(waitMs == rhs.waitMs))
       return false;
+    if (!(completed == rhs.completed))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -557,7 +665,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), quarantine(false), hosts(false), coming(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -567,9 +675,9 @@
   bool routesVersion :1;
   bool routes :1;
   bool members :1;
-  bool quarantine :1;
   bool hosts :1;
   bool coming :1;
+  bool suspects :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -598,9 +706,9 @@
   int64_t routesVersion;
   std::string routes;
   std::vector<std::string>  members;
-  std::vector<std::string>  quarantine;
   int32_t hosts;
   std::vector<ComingModel>  coming;
+  std::vector<Suspect>  suspects;
 
   _SyncReply__isset __isset;
 
@@ -622,12 +730,12 @@
 
   void __set_members(const std::vector<std::string> & val);
 
-  void __set_quarantine(const std::vector<std::string> & val);
-
   void __set_hosts(const int32_t val);
 
   void __set_coming(const std::vector<ComingModel> & val);
 
+  void __set_suspects(const std::vector<Suspect> & val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -648,12 +756,12 @@
       return false;
     if (!(members == rhs.members))
       return false;
-    if (!(quarantine == rhs.quarantine))
-      return false;
     if (!(hosts == rhs.hosts))
       return false;
     if (!(coming == rhs.coming))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -26,10 +26,23 @@
   7: double worth        // of the waiting requests
 }
 
-// A request after which servers failed.
+// Digest of a request's path and body.
+struct Fingerprint {
+  1: i64 high
+  2: i64 low
+}
+
+// A server's connection broke while it ran this request.
 struct Crash {
-  1: string fingerprint
+  // 1 was the fingerprint as text
   2: string server
+  3: Fingerprint request
+}
+
+// A request that servers may have failed from.
+struct Suspect {
+  1: Fingerprint request
+  2: i32 servers         // that were lost
 }
 
 struct SyncRequest {
@@ -43,6 +56,7 @@
   8: list<ModelUse> models   // of all models that wait or run
   9: list<Crash> crashes
   10: i32 waitMs         // longest time to hold the answer until a change
+  11: list<Fingerprint> completed  // suspects that have run to their end
 }
 
 struct ServerRow {
@@ -76,9 +90,10 @@
   7: i64 routesVersion
   8: binary routes       // when newer than the host's
   9: list<string> members
-  10: list<string> quarantine
+  // 10 was the quarantine as text
   11: i32 hosts          // that called within the last seconds
   12: list<ComingModel> coming
+  13: list<Suspect> suspects  // all that two servers or more were lost from
 }
 
 struct JoinRequest {
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Fleet.h"
 #include "entry/Gateway.hpp"
+#include "protocol/FingerprintWire.hpp"
 #include "support/LocalSystem.hpp"
 #include "transport/HttpLink.hpp"
 #include "transport/RpcServer.hpp"
@@ -29,6 +30,8 @@
   {
     std::this_thread::sleep_for(10ms);
     const std::lock_guard lock(mutex_);
+    crashes_.insert(
+      crashes_.end(), aRequest.crashes.begin(), aRequest.crashes.end());
     aReply = reply_;
     aReply.leader = leads_;
     aReply.epoch = 1;
@@ -50,6 +53,21 @@
     reply_.rows.push_back(row);
   }
 
+  void Suspect(const wire::Fingerprint& aRequest, std::int32_t aServers)
+  {
+    const std::lock_guard lock(mutex_);
+    wire::Suspect suspect;
+    suspect.request = aRequest;
+    suspect.servers = aServers;
+    reply_.suspects = { suspect };
+  }
+
+  std::vector<wire::Crash> Crashes()
+  {
+    const std::lock_guard lock(mutex_);
+    return crashes_;
+  }
+
   void SetLeads(bool aLeads)
   {
     const std::lock_guard lock(mutex_);
@@ -59,6 +77,7 @@
 private:
   std::mutex mutex_;
   wire::SyncReply reply_;
+  std::vector<wire::Crash> crashes_;
   bool leads_ = true;
 };
 
@@ -354,6 +373,55 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ARequestThatCrashesItsServers)
+
+BOOST_FIXTURE_TEST_CASE(IsReportedWithEachServer, Fixture)
+{
+  Serve("s1", Cut());
+  Serve("s2", Cut());
+  BOOST_TEST(Call("/safe/a").status_ == 502U);
+  bool told = false;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    transport::asio::steady_timer timer(loop_);
+    while (fleet_->Crashes().size() < 2) {
+      co_await transport::Sleep(timer, 10ms);
+    }
+    told = true;
+  });
+  RunUntil(told);
+  const auto crashes = fleet_->Crashes();
+  BOOST_TEST((crashes[0].request == crashes[1].request));
+  BOOST_TEST(crashes[0].server != crashes[1].server);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsHeldBackAfterThreeAtAnyHost, Fixture)
+{
+  Serve("s1", Plain(kGood, "hello"));
+  const auto fingerprint = protocol::ToWire(
+    coordination::FingerprintOf(core::DeploymentId("/once/a"), "the body"));
+  fleet_->Suspect(fingerprint, 3);
+  BOOST_TEST(Call("/once/b").status_ == 200U);
+  loop_.run_for(200ms);
+  BOOST_TEST(Call("/once/a").status_ == 503U);
+  BOOST_TEST(arrivals_ == 1);
+}
+
+// Two servers were lost elsewhere: one more run, and no other after it.
+BOOST_FIXTURE_TEST_CASE(IsNotSentAgainAfterTwo, Fixture)
+{
+  Serve("s1", Cut());
+  Serve("s2", Cut());
+  const auto fingerprint = protocol::ToWire(
+    coordination::FingerprintOf(core::DeploymentId("/safe/a"), "the body"));
+  fleet_->Suspect(fingerprint, 2);
+  BOOST_TEST(Call("/other/").status_ == 404U);
+  loop_.run_for(200ms);
+  BOOST_TEST(Call("/safe/a").status_ == 502U);
+  BOOST_TEST(arrivals_ == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AStream)
 
 BOOST_FIXTURE_TEST_CASE(GoesOnElsewhereAfterItsLastWholeEvent, Fixture)
