--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test run calm-day format lint bench-policy clean
+.PHONY: all deps build test run calm-day format lint soak bench-policy clean
 
 all: build
 
@@ -29,6 +29,10 @@
 	cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	scripts/check-lint $(BUILD)
 
+# Randomized faults on the real programs: make soak ARGS="--seeds 1-50".
+soak: build
+	tests/soak/soak.py $(ARGS)
+
 bench-policy:
 	scripts/bench-policy $(ARGS)
 
