Load adapters beside models; wait for a busy server that has the weights

Models whose disk copy lay on a server that was busy for a second were fetched from the store elsewhere (6 to 12 s). In the lead before traffic the store carried one load at a time.

Change: each server has a lane of orders for models and one for adapters, whose memory is taken when they are planned; a model waits for a busy server that brings it sooner than the store; the store is used whole while nobody asks.

Tests: ModelPlacementTest, TheWeightStore and Adapters. The check that only the adapter a1 is unloaded now names the model, since prefetches go on beside it.

--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -121,9 +121,18 @@
   std::map<core::ModelName, core::MonotonicTime> Coming() const;
 
 private:
+  /// Orders of one server that must follow each other.
+  struct OrderLane
+  {
+    std::vector<PlacementOrder> plan_;
+    /// The first has been sent.
+    bool underWay_ = false;
+  };
   struct Held
   {
     std::set<std::string> adapters_;
+    /// Adapters that are being loaded; their memory is taken already.
+    std::set<std::string> coming_;
     std::map<std::string, core::MonotonicTime> adapterUsed_;
     core::MonotonicTime since_;
   };
@@ -135,14 +144,17 @@
     std::uint32_t inFlight_ = 0;
     double slowness_ = 1;
     EngineCopies copies_;
-    /// Orders that must follow each other; the first is under way.
-    std::vector<PlacementOrder> plan_;
-    bool underWay_ = false;
+    /// Orders about models, one after the other.
+    OrderLane modelOrders_;
+    /// Orders about adapters. A server takes them while it loads a model.
+    OrderLane adapterOrders_;
     /// What it holds was read from the server itself and nothing has cast doubt
     /// on it since. Only then may it get orders: one that overfills a server
     /// crashes it.
     bool known_ = false;
     core::MonotonicTime changedAt_;
+    /// When the order about a model that is under way was sent.
+    core::MonotonicTime startedAt_;
     core::MonotonicTime readyAt_;
   };
   struct Need
@@ -165,6 +177,11 @@
   const EngineLimits* LimitsOf(const Server& aServer) const;
   std::uint32_t UsedMb(const Server& aServer,
                        const EngineLimits& aLimits) const;
+  /// What the loads that are planned will take.
+  std::uint32_t PlannedMb(const Server& aServer,
+                          const EngineLimits& aLimits) const;
+  /// Whether the model is to be unloaded.
+  static bool Leaving(const Server& aServer, const core::ModelName& aModel);
   std::uint32_t SizeMb(const EngineLimits& aLimits,
                        const core::ModelName& aModel,
                        const Held* aHeld) const;
@@ -179,6 +196,10 @@
   std::optional<double> Regret(const Server& aServer,
                                const core::ModelName& aModel,
                                core::MonotonicTime aNow) const;
+  /// When a server that has a copy of the weights could have loaded them, after
+  /// what it does now; nothing when none has a copy, or could make room.
+  std::optional<core::MonotonicTime> HomeReady(const core::ModelName& aModel,
+                                               core::MonotonicTime aNow) const;
   std::optional<Candidate> BestServer(const core::ModelName& aModel,
                                       core::MonotonicTime aNow,
                                       bool aUrgent) const;
@@ -188,6 +209,9 @@
                                 core::MonotonicTime aNow,
                                 bool aUrgent) const;
   void Plan(const Candidate& aCandidate, const core::ModelName& aModel);
+  static PlacementOrder Send(Server& aServer,
+                             OrderLane& aLane,
+                             core::MonotonicTime aNow);
   void PlanModels(core::MonotonicTime aNow);
   void PlanAdapters(core::MonotonicTime aNow);
   void PlanAdapter(const ModelParts& aParts, core::MonotonicTime aNow);
@@ -208,7 +232,7 @@
   /// When models that wait for the weight store should be there.
   std::map<core::ModelName, core::MonotonicTime> queued_;
   /// Loads that the store is believed to serve at once at full speed.
-  std::uint32_t storeLimit_ = 2;
+  std::uint32_t storeLimit_ = 4;
   /// Store loads that may begin now.
   double storeTokens_ = 0;
   core::MonotonicTime storeTokensAt_;
