Give adapters one lane with models again; spare servers that hold up others

A load from the store keeps its server from all other orders for 6 s and more.

Change: the second lane is gone. A load from the store goes to a server at which fewer requests need orders: the cost of a candidate counts the requests a second of the models that it holds or has on its disk, over the time of the load.

Test: ModelPlacementTest, IsReadByTheServerThatHoldsUpFewest; the two tests of the second lane are withdrawn with it.

--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -41,6 +41,9 @@
 constexpr double kFirstReplicaWeight = 20;
 /// Cost, in seconds, of each request that runs at a candidate.
 constexpr double kLoadCostS = 0.05;
+/// Cost, in seconds, of each request whose model or adapter has to wait for the
+/// end of the load: a server carries out one order at a time.
+constexpr double kHeldUpCostS = 0.5;
 /// Cost, in seconds, of a server that is slower by the whole mean.
 constexpr double kSlownessCostS = 0.5;
 
@@ -88,8 +91,7 @@
                           core::MonotonicTime aNow)
 {
   const auto found = servers_.find(aServer);
-  if (found == servers_.end() || !found->second.modelOrders_.plan_.empty() ||
-      !found->second.adapterOrders_.plan_.empty() ||
+  if (found == servers_.end() || !found->second.plan_.empty() ||
       aNow < found->second.changedAt_ + kListLag) {
     return;
   }
@@ -103,12 +105,10 @@
                            const EngineContent& aContent)
 {
   const auto found = servers_.find(aServer);
-  if (found == servers_.end() || found->second.modelOrders_.underWay_ ||
-      found->second.adapterOrders_.underWay_) {
+  if (found == servers_.end() || found->second.underWay_) {
     return;
   }
-  found->second.modelOrders_.plan_.clear();
-  found->second.adapterOrders_.plan_.clear();
+  found->second.plan_.clear();
   Take(found->second, aContent);
   found->second.known_ = true;
 }
@@ -118,8 +118,7 @@
 {
   std::vector<core::ServerId> unknown;
   for (const auto& [id, server] : servers_) {
-    if (!server.known_ && server.modelOrders_.plan_.empty() &&
-        server.adapterOrders_.plan_.empty()) {
+    if (!server.known_ && server.plan_.empty()) {
       unknown.push_back(id);
     }
   }
@@ -137,7 +136,6 @@
     differs =
       differs || before == aServer.models_.end() || held.adapters_ != adapters;
     held.adapters_ = adapters;
-    held.coming_.clear();
     models.emplace(model, std::move(held));
   }
   aServer.models_ = std::move(models);
@@ -199,6 +197,35 @@
   }
 }
 
+// The requests of a model that are expected at each server that has its
+// weights.
+void
+ModelPlacement::ShareRates()
+{
+  std::map<core::ModelName, double> rates;
+  for (const auto& [name, need] : needs_) {
+    rates[SplitModel(name).model_] += need.rate_;
+  }
+  const auto has = [](const Server& aServer, const core::ModelName& aModel) {
+    return aServer.models_.contains(aModel) ||
+           aServer.copies_.onDisk_.contains(aModel);
+  };
+  for (auto& [id, server] : servers_) {
+    server.homeRate_ = 0;
+  }
+  for (const auto& [model, rate] : rates) {
+    std::vector<Server*> homes;
+    for (auto& [id, server] : servers_) {
+      if (has(server, model)) {
+        homes.push_back(&server);
+      }
+    }
+    for (Server* server : homes) {
+      server->homeRate_ += rate / static_cast<double>(homes.size());
+    }
+  }
+}
+
 const EngineLimits*
 ModelPlacement::LimitsOf(const Server& aServer) const
 {
@@ -216,8 +243,7 @@
   if (size == aLimits.models_.end()) {
     return aLimits.weightsMb_;
   }
-  const std::size_t adapters =
-    aHeld == nullptr ? 0 : aHeld->adapters_.size() + aHeld->coming_.size();
+  const std::size_t adapters = aHeld == nullptr ? 0 : aHeld->adapters_.size();
   return size->second.weightsMb_ +
          static_cast<std::uint32_t>(adapters) * size->second.adapterMb_;
 }
@@ -263,28 +289,6 @@
   return size->second.storeLoad_;
 }
 
-std::uint32_t
-ModelPlacement::PlannedMb(const Server& aServer,
-                          const EngineLimits& aLimits) const
-{
-  std::uint32_t planned = 0;
-  for (const PlacementOrder& order : aServer.modelOrders_.plan_) {
-    if (order.verb_ == PlacementVerb::Load) {
-      planned += SizeMb(aLimits, order.model_, nullptr);
-    }
-  }
-  return planned;
-}
-
-bool
-ModelPlacement::Leaving(const Server& aServer, const core::ModelName& aModel)
-{
-  return std::ranges::any_of(
-    aServer.modelOrders_.plan_, [&](const PlacementOrder& aOrder) {
-      return aOrder.verb_ == PlacementVerb::Unload && aOrder.model_ == aModel;
-    });
-}
-
 std::uint32_t
 ModelPlacement::Holders(const core::ModelName& aModel) const
 {
@@ -292,7 +296,11 @@
     std::ranges::count_if(servers_, [&](const auto& aEntry) {
       // One that is to be unloaded must not justify another unload.
       return aEntry.second.models_.contains(aModel) &&
-             !Leaving(aEntry.second, aModel);
+             std::ranges::none_of(
+               aEntry.second.plan_, [&](const PlacementOrder& aOrder) {
+                 return aOrder.verb_ == PlacementVerb::Unload &&
+                        aOrder.adapter_.empty() && aOrder.model_ == aModel;
+               });
     }));
 }
 
@@ -302,7 +310,7 @@
   return static_cast<std::uint32_t>(
     std::ranges::count_if(servers_, [&](const auto& aEntry) {
       return std::ranges::any_of(
-        aEntry.second.modelOrders_.plan_, [&](const PlacementOrder& aOrder) {
+        aEntry.second.plan_, [&](const PlacementOrder& aOrder) {
           return aOrder.verb_ == PlacementVerb::Load &&
                  aOrder.adapter_.empty() && aOrder.model_ == aModel;
         });
@@ -314,8 +322,8 @@
 {
   std::uint32_t loads = 0;
   for (const auto& [id, server] : servers_) {
-    loads += static_cast<std::uint32_t>(std::ranges::count_if(
-      server.modelOrders_.plan_, [](const PlacementOrder& aOrder) {
+    loads += static_cast<std::uint32_t>(
+      std::ranges::count_if(server.plan_, [](const PlacementOrder& aOrder) {
         return aOrder.verb_ == PlacementVerb::Load && aOrder.adapter_.empty() &&
                aOrder.tier_ == WeightTier::Store;
       }));
@@ -385,17 +393,17 @@
                      bool aUrgent) const
 {
   const EngineLimits* limits = LimitsOf(aServer);
-  if (limits == nullptr || !aServer.known_ ||
-      !aServer.modelOrders_.plan_.empty() || aServer.models_.contains(aModel) ||
-      !limits->models_.contains(aModel)) {
+  if (limits == nullptr || !aServer.known_ || !aServer.plan_.empty() ||
+      aServer.models_.contains(aModel) || !limits->models_.contains(aModel)) {
     return std::nullopt;
   }
   Candidate candidate;
   candidate.server_ = aId;
   candidate.tier_ = TierOf(aServer, aModel);
-  candidate.cost_ = Seconds(LoadTime(*limits, aModel, candidate.tier_)) +
-                    kLoadCostS * aServer.inFlight_ +
-                    kSlownessCostS * aServer.slowness_;
+  const double load = Seconds(LoadTime(*limits, aModel, candidate.tier_));
+  candidate.cost_ = load + kLoadCostS * aServer.inFlight_ +
+                    kSlownessCostS * aServer.slowness_ +
+                    kHeldUpCostS * load * aServer.homeRate_;
   const std::uint32_t wanted = SizeMb(*limits, aModel, nullptr);
   std::uint32_t used = UsedMb(aServer, *limits);
   std::vector<std::pair<double, core::ModelName>> victims;
@@ -430,15 +438,14 @@
   for (const auto& [id, server] : servers_) {
     const EngineLimits* limits = LimitsOf(server);
     const WeightTier tier = TierOf(server, aModel);
-    const auto& plan = server.modelOrders_.plan_;
     // One that does nothing now would be a candidate if it could make room.
-    if (limits == nullptr || tier == WeightTier::Store || plan.empty() ||
-        server.models_.contains(aModel)) {
+    if (limits == nullptr || tier == WeightTier::Store ||
+        server.plan_.empty() || server.models_.contains(aModel)) {
       continue;
     }
     core::MonotonicTime ready = std::max(aNow, server.readyAt_);
-    for (std::size_t next = 1; next < plan.size(); ++next) {
-      ready += plan[next].expected_;
+    for (std::size_t next = 1; next < server.plan_.size(); ++next) {
+      ready += server.plan_[next].expected_;
     }
     ready += LoadTime(*limits, aModel, tier);
     earliest = earliest ? std::min(*earliest, ready) : ready;
@@ -467,20 +474,19 @@
   Server& server = servers_.at(aCandidate.server_);
   const EngineLimits& limits = *LimitsOf(server);
   for (const core::ModelName& victim : aCandidate.evict_) {
-    server.modelOrders_.plan_.push_back({ aCandidate.server_,
-                                          PlacementVerb::Unload,
-                                          victim,
-                                          "",
-                                          WeightTier::Memory,
-                                          std::chrono::milliseconds(0) });
-  }
-  server.modelOrders_.plan_.push_back(
-    { aCandidate.server_,
-      PlacementVerb::Load,
-      aModel,
-      "",
-      aCandidate.tier_,
-      LoadTime(limits, aModel, aCandidate.tier_) });
+    server.plan_.push_back({ aCandidate.server_,
+                             PlacementVerb::Unload,
+                             victim,
+                             "",
+                             WeightTier::Memory,
+                             std::chrono::milliseconds(0) });
+  }
+  server.plan_.push_back({ aCandidate.server_,
+                           PlacementVerb::Load,
+                           aModel,
+                           "",
+                           aCandidate.tier_,
+                           LoadTime(limits, aModel, aCandidate.tier_) });
 }
 
 void
@@ -587,16 +593,20 @@
     if (held == server.models_.end()) {
       continue;
     }
-    if (held->second.adapters_.contains(aParts.adapter_) ||
-        held->second.coming_.contains(aParts.adapter_)) {
+    const bool there = held->second.adapters_.contains(aParts.adapter_);
+    const bool planned =
+      std::ranges::any_of(server.plan_, [&](const PlacementOrder& aOrder) {
+        return aOrder.model_ == aParts.model_ &&
+               aOrder.adapter_ == aParts.adapter_;
+      });
+    if (there || planned) {
       return;
     }
     std::size_t adapters = 0;
     for (const auto& [model, other] : server.models_) {
-      adapters += other.adapters_.size() + other.coming_.size();
+      adapters += other.adapters_.size();
     }
-    if (server.known_ && server.adapterOrders_.plan_.empty() &&
-        !Leaving(server, aParts.model_) &&
+    if (server.known_ && server.plan_.empty() &&
         (best == nullptr || adapters < fewest)) {
       best = &server;
       bestId = id;
@@ -613,9 +623,8 @@
   }
   // The adapter that was used least recently makes room.
   const bool slotsFull = fewest >= limits->adapterSlots_;
-  const bool memoryFull = UsedMb(*best, *limits) + PlannedMb(*best, *limits) +
-                            size->second.adapterMb_ >
-                          limits->weightsMb_;
+  const bool memoryFull =
+    UsedMb(*best, *limits) + size->second.adapterMb_ > limits->weightsMb_;
   if (slotsFull || memoryFull) {
     const core::ModelName* model = nullptr;
     const std::string* adapter = nullptr;
@@ -639,20 +648,19 @@
     if (adapter == nullptr) {
       return;
     }
-    best->adapterOrders_.plan_.push_back({ bestId,
-                                           PlacementVerb::Unload,
-                                           *model,
-                                           *adapter,
-                                           WeightTier::Memory,
-                                           std::chrono::milliseconds(0) });
-  }
-  best->adapterOrders_.plan_.push_back({ bestId,
-                                         PlacementVerb::Load,
-                                         aParts.model_,
-                                         aParts.adapter_,
-                                         WeightTier::Store,
-                                         kAdapterLoad });
-  best->models_.at(aParts.model_).coming_.insert(aParts.adapter_);
+    best->plan_.push_back({ bestId,
+                            PlacementVerb::Unload,
+                            *model,
+                            *adapter,
+                            WeightTier::Memory,
+                            std::chrono::milliseconds(0) });
+  }
+  best->plan_.push_back({ bestId,
+                          PlacementVerb::Load,
+                          aParts.model_,
+                          aParts.adapter_,
+                          WeightTier::Store,
+                          kAdapterLoad });
   best->changedAt_ = aNow;
 }
 
@@ -674,7 +682,7 @@
     for (const auto& [model, held] : server.models_) {
       known.insert(model);
     }
-    for (const PlacementOrder& order : server.modelOrders_.plan_) {
+    for (const PlacementOrder& order : server.plan_) {
       known.insert(order.model_);
     }
   }
@@ -700,40 +708,30 @@
   }
 }
 
-PlacementOrder
-ModelPlacement::Send(Server& aServer,
-                     OrderLane& aLane,
-                     core::MonotonicTime aNow)
-{
-  const PlacementOrder& order = aLane.plan_.front();
-  aLane.underWay_ = true;
-  aServer.changedAt_ = aNow;
-  if (order.adapter_.empty()) {
-    aServer.startedAt_ = aNow;
-    aServer.readyAt_ = aNow + order.expected_;
-    return order;
-  }
-  const auto held = aServer.models_.find(order.model_);
-  if (held != aServer.models_.end() && order.verb_ == PlacementVerb::Unload) {
-    // Requests must not be sent there from now on.
-    held->second.adapters_.erase(order.adapter_);
-  }
-  return order;
-}
-
 std::vector<PlacementOrder>
 ModelPlacement::Decide(core::MonotonicTime aNow)
 {
+  ShareRates();
   PlanModels(aNow);
   PlanAdapters(aNow);
   PlanPrefetch(aNow);
   std::vector<PlacementOrder> orders;
   for (auto& [id, server] : servers_) {
-    for (OrderLane* lane : { &server.modelOrders_, &server.adapterOrders_ }) {
-      if (!lane->plan_.empty() && !lane->underWay_) {
-        orders.push_back(Send(server, *lane, aNow));
+    if (server.plan_.empty() || server.underWay_) {
+      continue;
+    }
+    const PlacementOrder& order = server.plan_.front();
+    server.underWay_ = true;
+    server.changedAt_ = aNow;
+    server.readyAt_ = aNow + order.expected_;
+    if (order.verb_ == PlacementVerb::Unload) {
+      // Requests must not be sent there from now on.
+      const auto held = server.models_.find(order.model_);
+      if (held != server.models_.end() && !order.adapter_.empty()) {
+        held->second.adapters_.erase(order.adapter_);
       }
     }
+    orders.push_back(order);
   }
   return orders;
 }
@@ -748,10 +746,8 @@
     return;
   }
   Server& server = found->second;
-  OrderLane& lane =
-    aOrder.adapter_.empty() ? server.modelOrders_ : server.adapterOrders_;
-  const core::Duration took = aNow - server.startedAt_;
-  lane.underWay_ = false;
+  const core::Duration took = aNow - server.changedAt_;
+  server.underWay_ = false;
   server.changedAt_ = aNow;
   if (aCarriedOut && aOrder.verb_ == PlacementVerb::Load &&
       aOrder.adapter_.empty() && aOrder.tier_ == WeightTier::Store) {
@@ -759,22 +755,16 @@
   }
   if (!aCarriedOut) {
     // What follows was planned on its effect.
-    lane.plan_.clear();
-    if (!aOrder.adapter_.empty()) {
-      for (auto& [model, held] : server.models_) {
-        held.coming_.clear();
-      }
-    }
+    server.plan_.clear();
     server.known_ = false;
     return;
   }
-  if (!lane.plan_.empty()) {
-    lane.plan_.erase(lane.plan_.begin());
+  if (!server.plan_.empty()) {
+    server.plan_.erase(server.plan_.begin());
   }
   if (!aOrder.adapter_.empty()) {
     const auto held = server.models_.find(aOrder.model_);
     if (held != server.models_.end() && aOrder.verb_ == PlacementVerb::Load) {
-      held->second.coming_.erase(aOrder.adapter_);
       held->second.adapters_.insert(aOrder.adapter_);
     }
     return;
@@ -808,8 +798,14 @@
   if (found == servers_.end()) {
     return usable;
   }
+  std::set<core::ModelName> leaving;
+  for (const PlacementOrder& order : found->second.plan_) {
+    if (order.verb_ == PlacementVerb::Unload && order.adapter_.empty()) {
+      leaving.insert(order.model_);
+    }
+  }
   for (const auto& [model, held] : found->second.models_) {
-    if (Leaving(found->second, model)) {
+    if (leaving.contains(model)) {
       continue;
     }
     usable.insert(model);
@@ -847,12 +843,16 @@
   std::map<core::ModelName, core::MonotonicTime> coming = queued_;
   for (const auto& [id, server] : servers_) {
     core::MonotonicTime ready = server.readyAt_;
-    for (const PlacementOrder& order : server.modelOrders_.plan_) {
-      if (&order != &server.modelOrders_.plan_.front()) {
+    for (const PlacementOrder& order : server.plan_) {
+      if (&order != &server.plan_.front()) {
         ready += order.expected_;
       }
       if (order.verb_ == PlacementVerb::Load) {
-        const auto [entry, first] = coming.emplace(order.model_, ready);
+        const std::string name =
+          order.adapter_.empty() ? order.model_.Value()
+                                 : order.model_.Value() + "/" + order.adapter_;
+        const auto [entry, first] =
+          coming.emplace(core::ModelName(name), ready);
         entry->second = std::min(entry->second, ready);
       }
     }
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -121,18 +121,9 @@
   std::map<core::ModelName, core::MonotonicTime> Coming() const;
 
 private:
-  /// Orders of one server that must follow each other.
-  struct OrderLane
-  {
-    std::vector<PlacementOrder> plan_;
-    /// The first has been sent.
-    bool underWay_ = false;
-  };
   struct Held
   {
     std::set<std::string> adapters_;
-    /// Adapters that are being loaded; their memory is taken already.
-    std::set<std::string> coming_;
     std::map<std::string, core::MonotonicTime> adapterUsed_;
     core::MonotonicTime since_;
   };
@@ -144,17 +135,16 @@
     std::uint32_t inFlight_ = 0;
     double slowness_ = 1;
     EngineCopies copies_;
-    /// Orders about models, one after the other.
-    OrderLane modelOrders_;
-    /// Orders about adapters. A server takes them while it loads a model.
-    OrderLane adapterOrders_;
+    /// Requests a second that may need an order there.
+    double homeRate_ = 0;
+    /// Orders that must follow each other; the first is under way.
+    std::vector<PlacementOrder> plan_;
+    bool underWay_ = false;
     /// What it holds was read from the server itself and nothing has cast doubt
     /// on it since. Only then may it get orders: one that overfills a server
     /// crashes it.
     bool known_ = false;
     core::MonotonicTime changedAt_;
-    /// When the order about a model that is under way was sent.
-    core::MonotonicTime startedAt_;
     core::MonotonicTime readyAt_;
   };
   struct Need
@@ -177,11 +167,6 @@
   const EngineLimits* LimitsOf(const Server& aServer) const;
   std::uint32_t UsedMb(const Server& aServer,
                        const EngineLimits& aLimits) const;
-  /// What the loads that are planned will take.
-  std::uint32_t PlannedMb(const Server& aServer,
-                          const EngineLimits& aLimits) const;
-  /// Whether the model is to be unloaded.
-  static bool Leaving(const Server& aServer, const core::ModelName& aModel);
   std::uint32_t SizeMb(const EngineLimits& aLimits,
                        const core::ModelName& aModel,
                        const Held* aHeld) const;
@@ -209,9 +194,7 @@
                                 core::MonotonicTime aNow,
                                 bool aUrgent) const;
   void Plan(const Candidate& aCandidate, const core::ModelName& aModel);
-  static PlacementOrder Send(Server& aServer,
-                             OrderLane& aLane,
-                             core::MonotonicTime aNow);
+  void ShareRates();
   void PlanModels(core::MonotonicTime aNow);
   void PlanAdapters(core::MonotonicTime aNow);
   void PlanAdapter(const ModelParts& aParts, core::MonotonicTime aNow);
--- a/tests/ModelPlacementTest.cpp
+++ b/tests/ModelPlacementTest.cpp
@@ -327,8 +327,8 @@
 
 BOOST_AUTO_TEST_SUITE(TheWeightStore)
 
-// A server that has the weights on its disk and is busy for a second brings them
-// sooner than the store does elsewhere.
+// A server that has the weights on its disk and is busy for a second brings
+// them sooner than the store does elsewhere.
 BOOST_FIXTURE_TEST_CASE(IsNotAskedWhileABusyServerHasTheWeights, Fixture)
 {
   Add(1, { "m1", "m2" });
@@ -348,6 +348,25 @@
   BOOST_TEST((placement_.Coming().at(Model("m4")) < now_ + 6s));
 }
 
+// A load from the store keeps its server from other orders for seconds: it goes
+// to one whose models are asked for less.
+BOOST_FIXTURE_TEST_CASE(IsReadByTheServerThatHoldsUpFewest, Fixture)
+{
+  Add(1, { "m1" });
+  Add(2, { "m2" });
+  for (int step = 0; step < 20; ++step) {
+    now_ += 500ms;
+    demand_.clear();
+    demand_[Model("m1")].arrivals_ = 2;
+    placement_.OnDemand(demand_, now_);
+  }
+  Wait("m3");
+  now_ += 500ms;
+  const auto loads = LoadsOf(Decide(), "m3");
+  BOOST_REQUIRE(loads.size() == 1U);
+  BOOST_TEST(loads[0].server_.Value() == "s2");
+}
+
 BOOST_FIXTURE_TEST_CASE(FetchesAsMuchAsItCanBeforeAnybodyAsks, Fixture)
 {
   for (int server = 1; server <= 6; ++server) {
@@ -379,41 +398,6 @@
   BOOST_TEST(placement_.Usable(Server(2)).contains(Model("m1/a4")));
 }
 
-// A load from the store takes seconds; its server takes adapters meanwhile.
-BOOST_FIXTURE_TEST_CASE(AreLoadedWhileTheirServerLoadsAModel, Fixture)
-{
-  Add(1, { "m1" });
-  Wait("m3");
-  now_ += 1s;
-  BOOST_REQUIRE(LoadsOf(Decide(), "m3").size() == 1U);
-  Wait("m1/a4");
-  now_ += 1s;
-  const auto loads = LoadsOf(Decide(), "m1");
-  BOOST_REQUIRE(loads.size() == 1U);
-  BOOST_TEST(loads[0].adapter_ == "a4");
-  placement_.OnOrderDone(loads[0], true, now_);
-  BOOST_TEST(placement_.Usable(Server(1)).contains(Model("m1/a4")));
-}
-
-// 68 MB hold two models of 34, and no adapter beside them.
-BOOST_FIXTURE_TEST_CASE(LeaveRoomForTheModelThatIsComing, Fixture)
-{
-  EngineLimits limits;
-  limits.weightsMb_ = 68;
-  limits.adapterSlots_ = 8;
-  limits.loadsPerSecond_ = 4;
-  limits.models_[Model("m1")] = { 34, 1, 6000ms, 1000ms, 700ms };
-  limits.models_[Model("m3")] = { 34, 1, 6000ms, 1000ms, 700ms };
-  placement_.SetLimits({ { kService, limits } });
-  Add(1, { "m1" });
-  Wait("m3");
-  now_ += 1s;
-  BOOST_REQUIRE(LoadsOf(Decide(), "m3").size() == 1U);
-  Wait("m1/a4");
-  now_ += 1s;
-  BOOST_TEST(LoadsOf(Decide(), "m1").empty());
-}
-
 BOOST_FIXTURE_TEST_CASE(MakeRoomForEachOtherTheLongestUnusedFirst, Fixture)
 {
   Add(1, { "m1" });
@@ -424,8 +408,7 @@
     for (int step = 0; step < 2; ++step) {
       for (const PlacementOrder& order : Decide()) {
         if (order.verb_ == PlacementVerb::Unload) {
-          // Other models come and go beside it.
-          BOOST_TEST((order.adapter_ == "a1" || order.model_ != Model("m1")));
+          BOOST_TEST(order.adapter_ == "a1");
         }
         placement_.OnOrderDone(order, true, now_);
       }
