Read no more prompts at once than a server's runs can wait for

The time to the first event, by which servers were compared, has a constant part of some 60 ms.

Change: hosts report sums of prompt tokens and times, from which the leader fits the time of one token; hosts tell how many prompt tokens are still being read. A request waits while its prompt would take the reading of a server with other runs over 0.8 of the pause that its route accepts, until half of its objective is over.

Tests: BackendViewTest (ReadsNoMorePromptsAtOnceThanItsRunsCanWaitFor), FleetTableTest (SpeedOfServers).

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -515,10 +515,13 @@
     out.failures_ =
       static_cast<std::uint32_t>(std::max(0, use.failures + use.unreachable));
     out.successes_ = static_cast<std::uint32_t>(std::max(0, use.successes));
-    out.promptTokens_ =
-      static_cast<std::uint64_t>(std::max<std::int64_t>(0, use.promptTokens));
-    out.promptTime_ =
-      std::chrono::microseconds(std::max<std::int64_t>(0, use.promptMicros));
+    out.prompts_ = { static_cast<double>(use.promptRuns),
+                     static_cast<double>(use.promptTokens),
+                     static_cast<double>(use.promptMicros),
+                     use.tokensSquared,
+                     use.tokensMicros };
+    out.unread_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, use.unreadTokens));
     for (const std::string& model : use.active) {
       out.active_.insert(core::ModelName(model));
     }
@@ -625,6 +628,8 @@
       out.inFlight = static_cast<std::int32_t>(row.othersInFlight_);
       out.tokens = static_cast<std::int64_t>(row.othersTokens_);
       out.speedPercent = static_cast<std::int32_t>(100 * row.slowness_);
+      out.tokenNanos = static_cast<std::int32_t>(row.tokenTime_.count());
+      out.unreadTokens = static_cast<std::int64_t>(row.othersUnread_);
       out.suspect = row.suspect_;
       out.memoryTokens = static_cast<std::int64_t>(row.memoryTokens_);
       aReply.rows.push_back(std::move(out));
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -32,9 +32,32 @@
 /// Share of a server's token memory that is filled by estimate; answers are
 /// often shorter than their limit, but an overfull server preempts.
 constexpr double kMemoryShare = 0.95;
+/// Share of the longest pause that callers accept in which prompts are read;
+/// the rest is for the steps of the runs themselves.
+constexpr double kReadingShare = 0.8;
 
 } // namespace
 
+void
+PromptSample::Add(const PromptSample& aOther)
+{
+  runs_ += aOther.runs_;
+  tokens_ += aOther.tokens_;
+  micros_ += aOther.micros_;
+  tokensSquared_ += aOther.tokensSquared_;
+  tokensMicros_ += aOther.tokensMicros_;
+}
+
+void
+PromptSample::Scale(double aFactor)
+{
+  runs_ *= aFactor;
+  tokens_ *= aFactor;
+  micros_ *= aFactor;
+  tokensSquared_ *= aFactor;
+  tokensMicros_ *= aFactor;
+}
+
 BackendView::BackendView(core::FailureDomainId aOwn)
   : own_(std::move(aOwn))
 {
@@ -69,6 +92,20 @@
   return aServer.outUntil_ && aNow < *aServer.outUntil_;
 }
 
+bool
+BackendView::HoldsUpRuns(const Server& aServer, const BackendNeed& aNeed)
+{
+  const BackendRow& row = aServer.row_;
+  const std::uint64_t unread = row.othersUnread_ + aServer.use_.unread_;
+  if (unread == 0 || aNeed.pressed_ ||
+      aNeed.longestPause_ <= core::Duration(0)) {
+    return false;
+  }
+  const auto reading =
+    row.tokenTime_ * static_cast<std::int64_t>(unread + aNeed.promptTokens_);
+  return reading > kReadingShare * aNeed.longestPause_;
+}
+
 bool
 BackendView::HasPlace(const Server& aServer, const BackendNeed& aNeed) const
 {
@@ -86,6 +123,9 @@
   if (row.memoryTokens_ == 0 || aNeed.tokens_ == 0) {
     return true;
   }
+  if (HoldsUpRuns(aServer, aNeed)) {
+    return false;
+  }
   const std::uint64_t used = row.othersTokens_ + aServer.use_.tokens_;
   const auto limit = static_cast<std::uint64_t>(
     kMemoryShare * static_cast<double>(row.memoryTokens_));
@@ -170,13 +210,14 @@
 }
 
 void
-BackendView::OnStart(const core::ServerId& aServer, std::uint64_t aTokens)
+BackendView::OnStart(const core::ServerId& aServer, const BackendNeed& aNeed)
 {
   const auto found = servers_.find(aServer);
   if (found != servers_.end()) {
     ++found->second.use_.inFlight_;
     ++found->second.beginning_;
-    found->second.use_.tokens_ += aTokens;
+    found->second.use_.tokens_ += aNeed.tokens_;
+    found->second.use_.unread_ += aNeed.promptTokens_;
   }
 }
 
@@ -216,12 +257,16 @@
 }
 
 void
-BackendView::OnFirstEvent(const core::ServerId& aServer)
+BackendView::OnFirstEvent(const core::ServerId& aServer,
+                          std::uint64_t aPromptTokens)
 {
   const auto found = servers_.find(aServer);
-  if (found != servers_.end() && found->second.beginning_ > 0) {
-    --found->second.beginning_;
+  if (found == servers_.end()) {
+    return;
   }
+  Server& server = found->second;
+  server.beginning_ -= std::min<std::uint32_t>(server.beginning_, 1);
+  server.use_.unread_ -= std::min(server.use_.unread_, aPromptTokens);
 }
 
 void
@@ -233,9 +278,11 @@
   if (found == servers_.end() || LoadOf(aServer) > kLoadToLearnSpeed) {
     return;
   }
-  found->second.use_.promptTokens_ += aTokens;
-  found->second.use_.promptTime_ +=
-    std::chrono::duration_cast<std::chrono::microseconds>(aTime);
+  const auto tokens = static_cast<double>(aTokens);
+  const double micros =
+    std::chrono::duration<double, std::micro>(aTime).count();
+  found->second.use_.prompts_.Add(
+    { 1, tokens, micros, tokens * tokens, tokens * micros });
 }
 
 void
@@ -269,15 +316,14 @@
     Use& use = server.use_;
     const bool idle = use.inFlight_ == 0 && use.failures_ == 0 &&
                       use.successes_ == 0 && use.unreachable_ == 0 &&
-                      use.promptTokens_ == 0 && use.missing_.empty();
+                      use.prompts_.runs_ == 0 && use.missing_.empty();
     if (!idle) {
       uses[id] = use;
     }
     use.failures_ = 0;
     use.successes_ = 0;
     use.unreachable_ = 0;
-    use.promptTokens_ = 0;
-    use.promptTime_ = {};
+    use.prompts_ = {};
     use.missing_.clear();
   }
   return uses;
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -41,10 +41,27 @@
   std::uint64_t othersTokens_ = 0;
   /// Time that it takes to begin a run, against the mean server of its service.
   double slowness_ = 1;
+  /// Time that it takes to read one token of a prompt; 0 when not known.
+  std::chrono::nanoseconds tokenTime_{ 0 };
+  /// Tokens of prompts that it reads for other hosts.
+  std::uint64_t othersUnread_ = 0;
   /// Several hosts had failures there lately.
   bool suspect_ = false;
 };
 
+/// Sums over runs that began, for the time that a prompt takes by its tokens.
+struct PromptSample
+{
+  double runs_ = 0;
+  double tokens_ = 0;
+  double micros_ = 0;
+  double tokensSquared_ = 0;
+  double tokensMicros_ = 0;
+
+  void Add(const PromptSample& aOther);
+  void Scale(double aFactor);
+};
+
 /// What one request asks of a server.
 struct BackendNeed
 {
@@ -52,6 +69,9 @@
   /// Empty when any server of the service will do.
   core::ModelName model_;
   std::uint64_t tokens_ = 0;
+  std::uint64_t promptTokens_ = 0;
+  /// Longest pause between events that its caller accepts; 0: any.
+  core::Duration longestPause_{ 0 };
   /// It has waited for long: a slow place is better than none.
   bool pressed_ = false;
   /// Servers that were tried before.
@@ -106,13 +126,13 @@
   Choice Choose(const BackendNeed& aNeed,
                 core::MonotonicTime aNow,
                 core::Random& aRandom) const;
-  void OnStart(const core::ServerId& aServer, std::uint64_t aTokens);
+  void OnStart(const core::ServerId& aServer, const BackendNeed& aNeed);
   void OnFinish(const core::ServerId& aServer,
                 std::uint64_t aTokens,
                 SendOutcome aOutcome,
                 core::MonotonicTime aNow);
   /// A run that OnStart counted has read its prompt, or never will.
-  void OnFirstEvent(const core::ServerId& aServer);
+  void OnFirstEvent(const core::ServerId& aServer, std::uint64_t aPromptTokens);
   /// What a run at a server that was nearly idle took to read its prompt.
   void OnPrompt(const core::ServerId& aServer,
                 std::uint64_t aTokens,
@@ -130,8 +150,8 @@
     std::uint32_t failures_ = 0;
     std::uint32_t successes_ = 0;
     std::uint32_t unreachable_ = 0;
-    std::uint64_t promptTokens_ = 0;
-    std::chrono::microseconds promptTime_{ 0 };
+    PromptSample prompts_;
+    std::uint64_t unread_ = 0;
     std::vector<core::ModelName> missing_;
   };
   /// What to report; the counts start anew.
@@ -155,6 +175,9 @@
   };
 
   bool Out(const Server& aServer, core::MonotonicTime aNow) const;
+  /// Whether the runs there would pause for too long while it reads this prompt
+  /// beside those that it reads already.
+  static bool HoldsUpRuns(const Server& aServer, const BackendNeed& aNeed);
   bool HasPlace(const Server& aServer, const BackendNeed& aNeed) const;
   double Score(const Server& aServer, core::MonotonicTime aNow) const;
 
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -19,6 +19,14 @@
 constexpr double kSpeedHalfLifeTokens = 40'000;
 /// Prompt tokens whose weight the mean server's speed has.
 constexpr double kSpeedPriorTokens = 3'000;
+/// Runs, and spread of their tokens against the square of the mean, from which
+/// the constant part of the time to the first event is told from the rest.
+constexpr double kRunsToFit = 30;
+constexpr double kSpreadToFit = 0.05;
+constexpr double kLeastSlopeShare = 0.25;
+constexpr double kLeastTokenMicros = 1;
+/// Change of unread tokens that hosts are told.
+constexpr double kUnreadStep = 1500;
 /// Change of speed that hosts are told.
 constexpr double kSpeedStep = 0.1;
 /// Half-life of reported failures and successes.
@@ -27,6 +35,33 @@
 constexpr double kSuspectShare = 0.2;
 constexpr double kSuspectFailures = 2;
 
+/// Microseconds until the first event: a constant part and one by tokens.
+struct PromptTime
+{
+  double constant_ = 0;
+  double perToken_ = 0;
+};
+
+// Least squares over the runs of a service. Without enough of them, or when
+// their prompts are about equal, all of the time counts by tokens.
+PromptTime
+FitPromptTime(const PromptSample& aRuns)
+{
+  const double mean = aRuns.micros_ / std::max(1.0, aRuns.tokens_);
+  const double spread =
+    aRuns.runs_ * aRuns.tokensSquared_ - aRuns.tokens_ * aRuns.tokens_;
+  if (aRuns.runs_ < kRunsToFit ||
+      spread < kSpreadToFit * aRuns.tokens_ * aRuns.tokens_) {
+    return { 0, std::max(mean, kLeastTokenMicros) };
+  }
+  const double slope =
+    (aRuns.runs_ * aRuns.tokensMicros_ - aRuns.tokens_ * aRuns.micros_) /
+    spread;
+  const double perToken = std::clamp(
+    slope, kLeastSlopeShare * mean, std::max(mean, kLeastTokenMicros));
+  return { (aRuns.micros_ - perToken * aRuns.tokens_) / aRuns.runs_, perToken };
+}
+
 bool
 Differs(double aOld, double aNew, double aStep)
 {
@@ -123,44 +158,48 @@
 void
 FleetTable::LearnSpeed(const core::ServerId& aServer, const HostUse& aUse)
 {
-  if (aUse.promptTokens_ == 0) {
+  if (aUse.prompts_.runs_ == 0) {
     return;
   }
-  Speed& speed = speeds_[aServer];
-  const auto tokens = static_cast<double>(aUse.promptTokens_);
+  PromptSample& prompts = prompts_[aServer];
   // Old samples fade, since a server may turn slow.
-  const double kept = std::exp2(-tokens / kSpeedHalfLifeTokens);
-  speed.micros_ =
-    speed.micros_ * kept + static_cast<double>(aUse.promptTime_.count());
-  speed.tokens_ = speed.tokens_ * kept + tokens;
+  prompts.Scale(std::exp2(-aUse.prompts_.tokens_ / kSpeedHalfLifeTokens));
+  prompts.Add(aUse.prompts_);
 }
 
 void
 FleetTable::CompareSpeeds()
 {
-  std::map<ServiceName, Speed> means;
-  for (const auto& [id, speed] : speeds_) {
+  std::map<ServiceName, PromptSample> totals;
+  for (const auto& [id, prompts] : prompts_) {
     const auto row = rows_.find(id);
     if (row != rows_.end()) {
-      Speed& mean = means[row->second.row_.service_];
-      mean.micros_ += speed.micros_ / speed.tokens_;
-      mean.tokens_ += 1;
+      totals[row->second.row_.service_].Add(prompts);
     }
   }
-  for (const auto& [id, speed] : speeds_) {
+  for (const auto& [id, prompts] : prompts_) {
     const auto found = rows_.find(id);
     if (found == rows_.end()) {
       continue;
     }
     Row& row = found->second;
-    const Speed& mean = means[row.row_.service_];
+    const PromptSample& total = totals[row.row_.service_];
+    const PromptTime mean = FitPromptTime(total);
     // Few samples say little: they are mixed with ones of the mean server.
-    const double average = mean.micros_ / mean.tokens_;
-    const double own = (speed.micros_ + average * kSpeedPriorTokens) /
-                       (speed.tokens_ + kSpeedPriorTokens);
-    const double slowness = own / average;
-    if (std::abs(slowness - row.row_.slowness_) > kSpeedStep) {
+    const double average = total.micros_ / total.tokens_;
+    const double known = prompts.tokens_ + kSpeedPriorTokens;
+    const double slowness =
+      (prompts.micros_ / average + kSpeedPriorTokens) / known;
+    const double reading =
+      std::max(0.0, prompts.micros_ - mean.constant_ * prompts.runs_);
+    const double nanos =
+      1000 * (reading + mean.perToken_ * kSpeedPriorTokens) / known;
+    const auto told = static_cast<double>(row.row_.tokenTime_.count());
+    if (std::abs(slowness - row.row_.slowness_) > kSpeedStep ||
+        Differs(told, nanos, 1)) {
       row.row_.slowness_ = slowness;
+      row.row_.tokenTime_ =
+        std::chrono::nanoseconds(static_cast<std::int64_t>(nanos));
       Touch(row);
     }
   }
@@ -200,11 +239,13 @@
   for (auto& [id, row] : rows_) {
     std::uint32_t inFlight = 0;
     std::uint64_t tokens = 0;
+    std::uint64_t unread = 0;
     for (const auto& [name, host] : hosts_) {
       const auto use = host.uses_.find(id);
       if (use != host.uses_.end()) {
         inFlight += use->second.inFlight_;
         tokens += use->second.tokens_;
+        unread += use->second.unread_;
       }
     }
     bool suspect = false;
@@ -225,9 +266,13 @@
         Differs(static_cast<double>(row.tokens_),
                 static_cast<double>(tokens),
                 tokenStep) ||
+        Differs(static_cast<double>(row.unread_),
+                static_cast<double>(unread),
+                kUnreadStep) ||
         suspect != row.row_.suspect_) {
       row.inFlight_ = inFlight;
       row.tokens_ = tokens;
+      row.unread_ = unread;
       row.row_.suspect_ = suspect;
       Touch(row);
     }
@@ -267,15 +312,18 @@
     BackendRow out = row.row_;
     std::uint32_t inFlight = row.inFlight_;
     std::uint64_t tokens = row.tokens_;
+    std::uint64_t unread = row.unread_;
     if (host != hosts_.end()) {
       const auto own = host->second.uses_.find(id);
       if (own != host->second.uses_.end()) {
         inFlight -= std::min(inFlight, own->second.inFlight_);
         tokens -= std::min(tokens, own->second.tokens_);
+        unread -= std::min(unread, own->second.unread_);
       }
     }
     out.othersInFlight_ = inFlight;
     out.othersTokens_ = tokens;
+    out.othersUnread_ = unread;
     rows.push_back(std::move(out));
   }
   return rows;
--- a/coordination/FleetTable.hpp
+++ b/coordination/FleetTable.hpp
@@ -33,8 +33,9 @@
   std::uint64_t tokens_ = 0;
   std::uint32_t failures_ = 0;
   std::uint32_t successes_ = 0;
-  std::uint64_t promptTokens_ = 0;
-  std::chrono::microseconds promptTime_{ 0 };
+  PromptSample prompts_;
+  /// Tokens of prompts that are being read.
+  std::uint64_t unread_ = 0;
   std::set<core::ModelName> active_;
 };
 
@@ -51,6 +52,7 @@
     /// Requests and tokens of all hosts as of the last change.
     std::uint32_t inFlight_ = 0;
     std::uint64_t tokens_ = 0;
+    std::uint64_t unread_ = 0;
   };
 
   /// Replaces the list. Servers that are no longer listed are gone.
@@ -94,13 +96,6 @@
     core::MonotonicTime at_;
   };
 
-  /// Time for a prompt token, by which servers of a service are compared.
-  struct Speed
-  {
-    double micros_ = 0;
-    double tokens_ = 0;
-  };
-
   void LearnSpeed(const core::ServerId& aServer, const HostUse& aUse);
   void CompareSpeeds();
   void Touch(Row& aRow);
@@ -112,7 +107,8 @@
   std::map<core::ServerId, core::MonotonicTime> goneSince_;
   std::map<core::HostId, Host> hosts_;
   std::map<core::ServerId, Evidence> evidence_;
-  std::map<core::ServerId, Speed> speeds_;
+  /// Runs that began lately, by which servers of a service are compared.
+  std::map<core::ServerId, PromptSample> prompts_;
   std::uint64_t change_ = 1;
   std::uint64_t urgentChange_ = 1;
 };
--- a/coordination/PlaceQueue.cpp
+++ b/coordination/PlaceQueue.cpp
@@ -37,7 +37,7 @@
   for (const auto& [id, request] : order) {
     const Choice choice = aView.Choose(request->need_, aNow, aRandom);
     if (choice.fit_ == Fit::Found) {
-      aView.OnStart(choice.server_, request->need_.tokens_);
+      aView.OnStart(choice.server_, request->need_);
       grants.push_back({ id, choice });
     }
   }
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -373,8 +373,12 @@
     out.failures = static_cast<std::int32_t>(use.failures_);
     out.successes = static_cast<std::int32_t>(use.successes_);
     out.unreachable = static_cast<std::int32_t>(use.unreachable_);
-    out.promptTokens = static_cast<std::int64_t>(use.promptTokens_);
-    out.promptMicros = use.promptTime_.count();
+    out.promptRuns = static_cast<std::int32_t>(use.prompts_.runs_);
+    out.promptTokens = static_cast<std::int64_t>(use.prompts_.tokens_);
+    out.promptMicros = static_cast<std::int64_t>(use.prompts_.micros_);
+    out.tokensSquared = use.prompts_.tokensSquared_;
+    out.tokensMicros = use.prompts_.tokensMicros_;
+    out.unreadTokens = static_cast<std::int64_t>(use.unread_);
     for (const core::ModelName& model : use.missing_) {
       out.missing.push_back(model.Value());
     }
@@ -544,6 +548,9 @@
     out.othersTokens_ =
       static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.tokens));
     out.slowness_ = row.speedPercent > 0 ? row.speedPercent / 100.0 : 1.0;
+    out.tokenTime_ = std::chrono::nanoseconds(std::max(0, row.tokenNanos));
+    out.othersUnread_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.unreadTokens));
     out.suspect_ = row.suspect;
     if (out.state_ == coordination::BackendState::Gone) {
       pool_.Drop(out.server_);
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -160,9 +160,12 @@
     }
     if (!ready.empty()) {
       if (std::exchange(sendFirst_, false)) {
-        gateway_.view_.OnFirstEvent(choice_.server_);
-        gateway_.view_.OnPrompt(
-          choice_.server_, promptTokens_, gateway_.clock_.Now() - sentAt_);
+        gateway_.view_.OnFirstEvent(choice_.server_, need_.promptTokens_);
+        gateway_.view_.OnPrompt(choice_.server_,
+                                need_.promptTokens_,
+                                gateway_.clock_.Now() - sentAt_);
+        // Its server can read the next prompt.
+        gateway_.AssignPlaces();
       }
       NoteEvents();
       std::array<char, 20> size{};
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -176,7 +176,8 @@
     need_.model_ = core::ModelName(std::string(header(names.model_)));
     const std::string_view tokens = header(names.tokens_);
     need_.tokens_ = TokensOf(tokens);
-    promptTokens_ = TokensOf(tokens.substr(0, tokens.find(',')));
+    need_.promptTokens_ = TokensOf(tokens.substr(0, tokens.find(',')));
+    need_.longestPause_ = route_->longestPause_;
     const auto parts = coordination::SplitModel(need_.model_);
     if (!need_.model_.Empty() &&
         !service->engine_->models_.contains(parts.model_)) {
@@ -593,7 +594,7 @@
 GatewayCall::Finish(SendOutcome aOutcome)
 {
   if (std::exchange(sendFirst_, false)) {
-    gateway_.view_.OnFirstEvent(choice_.server_);
+    gateway_.view_.OnFirstEvent(choice_.server_, need_.promptTokens_);
   }
   gateway_.view_.OnFinish(
     choice_.server_, need_.tokens_, aOutcome, gateway_.clock_.Now());
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -82,7 +82,6 @@
   std::shared_ptr<const coordination::RouteTable> routes_;
   const coordination::Route* route_ = nullptr;
   coordination::BackendNeed need_;
-  std::uint64_t promptTokens_ = 0;
   std::string id_;
   core::Digest fingerprint_;
   core::MonotonicTime begin_;
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -57,6 +57,22 @@
 void ServerUse::__set_promptMicros(const int64_t val) {
   this->promptMicros = val;
 }
+
+void ServerUse::__set_promptRuns(const int32_t val) {
+  this->promptRuns = val;
+}
+
+void ServerUse::__set_tokensSquared(const double val) {
+  this->tokensSquared = val;
+}
+
+void ServerUse::__set_tokensMicros(const double val) {
+  this->tokensMicros = val;
+}
+
+void ServerUse::__set_unreadTokens(const int64_t val) {
+  this->unreadTokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj)
 {
   obj.printTo(out);
@@ -189,6 +205,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->promptRuns);
+          this->__isset.promptRuns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokensSquared);
+          this->__isset.tokensSquared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokensMicros);
+          this->__isset.tokensMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unreadTokens);
+          this->__isset.unreadTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -262,6 +310,22 @@
   xfer += oprot->writeI64(this->promptMicros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("promptRuns", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->promptRuns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokensSquared", ::apache::thrift::protocol::T_DOUBLE, 12);
+  xfer += oprot->writeDouble(this->tokensSquared);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokensMicros", ::apache::thrift::protocol::T_DOUBLE, 13);
+  xfer += oprot->writeDouble(this->tokensMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreadTokens", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->unreadTokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -279,6 +343,10 @@
   swap(a.active, b.active);
   swap(a.promptTokens, b.promptTokens);
   swap(a.promptMicros, b.promptMicros);
+  swap(a.promptRuns, b.promptRuns);
+  swap(a.tokensSquared, b.tokensSquared);
+  swap(a.tokensMicros, b.tokensMicros);
+  swap(a.unreadTokens, b.unreadTokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -293,6 +361,10 @@
   active = other12.active;
   promptTokens = other12.promptTokens;
   promptMicros = other12.promptMicros;
+  promptRuns = other12.promptRuns;
+  tokensSquared = other12.tokensSquared;
+  tokensMicros = other12.tokensMicros;
+  unreadTokens = other12.unreadTokens;
   __isset = other12.__isset;
 }
 ServerUse& ServerUse::operator=(const ServerUse& other13) {
@@ -306,6 +378,10 @@
   active = other13.active;
   promptTokens = other13.promptTokens;
   promptMicros = other13.promptMicros;
+  promptRuns = other13.promptRuns;
+  tokensSquared = other13.tokensSquared;
+  tokensMicros = other13.tokensMicros;
+  unreadTokens = other13.unreadTokens;
   __isset = other13.__isset;
   return *this;
 }
@@ -322,6 +398,10 @@
   out << ", " << "active=" << to_string(active);
   out << ", " << "promptTokens=" << to_string(promptTokens);
   out << ", " << "promptMicros=" << to_string(promptMicros);
+  out << ", " << "promptRuns=" << to_string(promptRuns);
+  out << ", " << "tokensSquared=" << to_string(tokensSquared);
+  out << ", " << "tokensMicros=" << to_string(tokensMicros);
+  out << ", " << "unreadTokens=" << to_string(unreadTokens);
   out << ")";
 }
 
@@ -1301,6 +1381,14 @@
 void ServerRow::__set_speedPercent(const int32_t val) {
   this->speedPercent = val;
 }
+
+void ServerRow::__set_tokenNanos(const int32_t val) {
+  this->tokenNanos = val;
+}
+
+void ServerRow::__set_unreadTokens(const int64_t val) {
+  this->unreadTokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRow& obj)
 {
   obj.printTo(out);
@@ -1457,6 +1545,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokenNanos);
+          this->__isset.tokenNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unreadTokens);
+          this->__isset.unreadTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1542,6 +1646,14 @@
   xfer += oprot->writeI32(this->speedPercent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tokenNanos", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->tokenNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreadTokens", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->unreadTokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1562,6 +1674,8 @@
   swap(a.coming, b.coming);
   swap(a.memoryTokens, b.memoryTokens);
   swap(a.speedPercent, b.speedPercent);
+  swap(a.tokenNanos, b.tokenNanos);
+  swap(a.unreadTokens, b.unreadTokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -1579,6 +1693,8 @@
   coming = other60.coming;
   memoryTokens = other60.memoryTokens;
   speedPercent = other60.speedPercent;
+  tokenNanos = other60.tokenNanos;
+  unreadTokens = other60.unreadTokens;
   __isset = other60.__isset;
 }
 ServerRow& ServerRow::operator=(const ServerRow& other61) {
@@ -1595,6 +1711,8 @@
   coming = other61.coming;
   memoryTokens = other61.memoryTokens;
   speedPercent = other61.speedPercent;
+  tokenNanos = other61.tokenNanos;
+  unreadTokens = other61.unreadTokens;
   __isset = other61.__isset;
   return *this;
 }
@@ -1614,6 +1732,8 @@
   out << ", " << "coming=" << to_string(coming);
   out << ", " << "memoryTokens=" << to_string(memoryTokens);
   out << ", " << "speedPercent=" << to_string(speedPercent);
+  out << ", " << "tokenNanos=" << to_string(tokenNanos);
+  out << ", " << "unreadTokens=" << to_string(unreadTokens);
   out << ")";
 }
 
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -44,7 +44,7 @@
 class JoinAnswer;
 
 typedef struct _ServerUse__isset {
-  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false) {}
+  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false), promptRuns(false), tokensSquared(false), tokensMicros(false), unreadTokens(false) {}
   bool server :1;
   bool inFlight :1;
   bool tokens :1;
@@ -55,6 +55,10 @@
   bool active :1;
   bool promptTokens :1;
   bool promptMicros :1;
+  bool promptRuns :1;
+  bool tokensSquared :1;
+  bool tokensMicros :1;
+  bool unreadTokens :1;
 } _ServerUse__isset;
 
 class ServerUse : public virtual ::apache::thrift::TBase {
@@ -70,7 +74,11 @@
               successes(0),
               unreachable(0),
               promptTokens(0),
-              promptMicros(0) {
+              promptMicros(0),
+              promptRuns(0),
+              tokensSquared(0),
+              tokensMicros(0),
+              unreadTokens(0) {
   }
 
   virtual ~ServerUse() noexcept;
@@ -84,6 +92,10 @@
   std::vector<std::string>  active;
   int64_t promptTokens;
   int64_t promptMicros;
+  int32_t promptRuns;
+  double tokensSquared;
+  double tokensMicros;
+  int64_t unreadTokens;
 
   _ServerUse__isset __isset;
 
@@ -107,6 +119,14 @@
 
   void __set_promptMicros(const int64_t val);
 
+  void __set_promptRuns(const int32_t val);
+
+  void __set_tokensSquared(const double val);
+
+  void __set_tokensMicros(const double val);
+
+  void __set_unreadTokens(const int64_t val);
+
   bool operator == (const ServerUse & rhs) const
   {
     if (!(server == rhs.server))
@@ -129,6 +149,14 @@
       return false;
     if (!(promptMicros == rhs.promptMicros))
       return false;
+    if (!(promptRuns == rhs.promptRuns))
+      return false;
+    if (!(tokensSquared == rhs.tokensSquared))
+      return false;
+    if (!(tokensMicros == rhs.tokensMicros))
+      return false;
+    if (!(unreadTokens == rhs.unreadTokens))
+      return false;
     return true;
   }
   bool operator != (const ServerUse &rhs) const {
@@ -490,7 +518,7 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _ServerRow__isset {
-  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false) {}
+  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false), tokenNanos(false), unreadTokens(false) {}
   bool server :1;
   bool address :1;
   bool serviceName :1;
@@ -504,6 +532,8 @@
   bool coming :1;
   bool memoryTokens :1;
   bool speedPercent :1;
+  bool tokenNanos :1;
+  bool unreadTokens :1;
 } _ServerRow__isset;
 
 class ServerRow : public virtual ::apache::thrift::TBase {
@@ -522,7 +552,9 @@
               tokens(0),
               suspect(0),
               memoryTokens(0),
-              speedPercent(0) {
+              speedPercent(0),
+              tokenNanos(0),
+              unreadTokens(0) {
   }
 
   virtual ~ServerRow() noexcept;
@@ -539,6 +571,8 @@
   std::vector<std::string>  coming;
   int64_t memoryTokens;
   int32_t speedPercent;
+  int32_t tokenNanos;
+  int64_t unreadTokens;
 
   _ServerRow__isset __isset;
 
@@ -568,6 +602,10 @@
 
   void __set_speedPercent(const int32_t val);
 
+  void __set_tokenNanos(const int32_t val);
+
+  void __set_unreadTokens(const int64_t val);
+
   bool operator == (const ServerRow & rhs) const
   {
     if (!(server == rhs.server))
@@ -596,6 +634,10 @@
       return false;
     if (!(speedPercent == rhs.speedPercent))
       return false;
+    if (!(tokenNanos == rhs.tokenNanos))
+      return false;
+    if (!(unreadTokens == rhs.unreadTokens))
+      return false;
     return true;
   }
   bool operator != (const ServerRow &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -14,6 +14,10 @@
   8: list<string> active  // models that run there now
   9: i64 promptTokens     // read by runs that began, since the last call
   10: i64 promptMicros    // time that these took until their first event
+  11: i32 promptRuns      // number of these runs
+  12: double tokensSquared // sum over them of the square of their tokens
+  13: double tokensMicros  // sum over them of tokens times time
+  14: i64 unreadTokens    // of prompts that are being read there now
 }
 
 struct ModelUse {
@@ -73,6 +77,8 @@
   11: list<string> coming // models that are being loaded
   12: i64 memoryTokens   // 0: not known
   13: i32 speedPercent   // time for a prompt against the mean server's; 0: not known
+  14: i32 tokenNanos     // time to read one token of a prompt; 0: not known
+  15: i64 unreadTokens   // of prompts that other hosts' requests have there
 }
 
 struct ComingModel {
--- a/tests/BackendViewTest.cpp
+++ b/tests/BackendViewTest.cpp
@@ -40,6 +40,13 @@
     return need;
   }
 
+  static BackendNeed Tokens(std::uint64_t aTokens)
+  {
+    BackendNeed need;
+    need.tokens_ = aTokens;
+    return need;
+  }
+
   Choice Choose(const BackendNeed& aNeed)
   {
     return view_.Choose(aNeed, now_, random_);
@@ -48,7 +55,7 @@
   void Fail(const std::string& aId, SendOutcome aOutcome, int aTimes = 1)
   {
     for (int i = 0; i < aTimes; ++i) {
-      view_.OnStart(core::ServerId(aId), 0);
+      view_.OnStart(core::ServerId(aId), {});
       view_.OnFinish(core::ServerId(aId), 0, aOutcome, now_);
     }
   }
@@ -84,7 +91,7 @@
       BOOST_TEST((choice.fit_ == Fit::Full));
       break;
     }
-    view_.OnStart(choice.server_, 0);
+    view_.OnStart(choice.server_, {});
     ++given;
   }
   BOOST_TEST(given == 5U);
@@ -111,7 +118,7 @@
   BackendNeed need = Need("m1");
   need.tokens_ = 600;
   BOOST_TEST((Choose(need).fit_ == Fit::Found));
-  view_.OnStart(core::ServerId("s1"), 600);
+  view_.OnStart(core::ServerId("s1"), Tokens(600));
   BOOST_TEST((Choose(need).fit_ == Fit::Full));
 }
 
@@ -119,6 +126,34 @@
 
 BOOST_AUTO_TEST_SUITE(AnEngine)
 
+// Three prompts of 1,500 tokens at 100 us each take 450 ms, in which no run on
+// the server goes on; callers accept 300 ms.
+BOOST_FIXTURE_TEST_CASE(ReadsNoMorePromptsAtOnceThanItsRunsCanWaitFor, Fixture)
+{
+  BackendRow row = Row("s1", 64);
+  row.memoryTokens_ = 100'000;
+  row.models_ = { core::ModelName("m1") };
+  row.tokenTime_ = 100us;
+  view_.Update(row);
+  BackendNeed need = Need("m1");
+  need.tokens_ = 1'600;
+  need.promptTokens_ = 1'500;
+  need.longestPause_ = 300ms;
+  BOOST_TEST((Choose(need).fit_ == Fit::Found));
+  view_.OnStart(row.server_, need);
+  BOOST_TEST((Choose(need).fit_ == Fit::Full));
+  // One that has waited for long is no longer held back.
+  need.pressed_ = true;
+  BOOST_TEST((Choose(need).fit_ == Fit::Found));
+  need.pressed_ = false;
+  view_.OnFirstEvent(row.server_, need.promptTokens_);
+  BOOST_TEST((Choose(need).fit_ == Fit::Found));
+  // Prompts of other hosts count as well.
+  row.othersUnread_ = 1'500;
+  view_.Update(row);
+  BOOST_TEST((Choose(need).fit_ == Fit::Full));
+}
+
 // With all places taken, the streams of all runs pause for too long; a request
 // that can't be in time any more still gets one.
 BOOST_FIXTURE_TEST_CASE(KeepsPlacesForThoseThatHaveWaited, Fixture)
@@ -145,7 +180,7 @@
   }
   BOOST_TEST(Choose(Need("m1")).server_.Value() == "s2");
   for (int i = 0; i < 20; ++i) {
-    view_.OnStart(core::ServerId("s2"), 10);
+    view_.OnStart(core::ServerId("s2"), Tokens(10));
   }
   BOOST_TEST(Choose(Need("m1")).server_.Value() == "s1");
 }
@@ -180,7 +215,7 @@
 BOOST_FIXTURE_TEST_CASE(KeepsItsCountsWhenItsRowChanges, Fixture)
 {
   view_.Update(Row("s1", 1));
-  view_.OnStart(core::ServerId("s1"), 0);
+  view_.OnStart(core::ServerId("s1"), {});
   view_.Update(Row("s1", 1));
   BOOST_TEST((Choose(Need()).fit_ == Fit::Full));
 }
--- a/tests/FleetTableTest.cpp
+++ b/tests/FleetTableTest.cpp
@@ -69,6 +69,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(SpeedOfServers)
+
+// Each run takes 60 ms beside its prompt; the time of a token is what is left.
+BOOST_AUTO_TEST_CASE(IsToldFromTheConstantPartOfEachRun)
+{
+  FleetTable table;
+  table.OnList({ Listed("fast"), Listed("slow") }, kStart);
+  const std::map<std::string, double> microsPerToken = { { "fast", 50 },
+                                                         { "slow", 100 } };
+  for (int step = 0; step < 100; ++step) {
+    std::map<core::ServerId, HostUse> uses;
+    for (const auto& [name, micros] : microsPerToken) {
+      const double tokens = 300 + 40.0 * (step % 50);
+      const double time = 60'000 + micros * tokens;
+      uses[core::ServerId(name)].prompts_ = {
+        1, tokens, time, tokens * tokens, tokens * time
+      };
+    }
+    table.OnUses(kOne, uses, kStart + step * 100ms);
+  }
+  const BackendRow& fast = table.Rows().at(core::ServerId("fast")).row_;
+  const BackendRow& slow = table.Rows().at(core::ServerId("slow")).row_;
+  BOOST_TEST(slow.slowness_ > fast.slowness_);
+  BOOST_TEST(fast.tokenTime_.count() > 40'000);
+  BOOST_TEST(fast.tokenTime_.count() < 65'000);
+  BOOST_TEST(slow.tokenTime_.count() > 85'000);
+  BOOST_TEST(slow.tokenTime_.count() < 115'000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(LoadOfAllHosts)
 
 BOOST_AUTO_TEST_CASE(IsToldWithoutTheHostsOwn)
