Fetch ahead only while nobody asks; count what a store load holds up

Change: models are fetched ahead only while no request waits or runs. The cost of a store load at a server counts requests for models that nobody holds; those for models that are held count a tenth.

Tests: ModelPlacementTest, FetchesNothingAheadWhileRequestsRun.

--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -43,7 +43,10 @@
 constexpr double kLoadCostS = 0.05;
 /// Cost, in seconds, of each request whose model or adapter has to wait for the
 /// end of the load: a server carries out one order at a time.
-constexpr double kHeldUpCostS = 0.5;
+constexpr double kHeldUpCostS = 3;
+/// Share of the requests for models that are held which need an order all the
+/// same, for an adapter or because the model was given up meanwhile.
+constexpr double kHeldShare = 0.1;
 /// Cost, in seconds, of a server that is slower by the whole mean.
 constexpr double kSlownessCostS = 0.5;
 
@@ -215,13 +218,17 @@
   }
   for (const auto& [model, rate] : rates) {
     std::vector<Server*> homes;
+    bool held = false;
     for (auto& [id, server] : servers_) {
+      held = held || server.models_.contains(model);
       if (has(server, model)) {
         homes.push_back(&server);
       }
     }
+    // A model that is held needs no order until it is given up.
+    const double share = (held ? kHeldShare : 1.0) * rate;
     for (Server* server : homes) {
-      server->homeRate_ += rate / static_cast<double>(homes.size());
+      server->homeRate_ += share / static_cast<double>(homes.size());
     }
   }
 }
@@ -669,9 +676,9 @@
 void
 ModelPlacement::PlanPrefetch(core::MonotonicTime aNow)
 {
-  // While nobody asks for anything the store serves this alone.
-  const std::uint32_t share = byModel_.empty() ? 1 : 2;
-  if (share * StoreLoads() >= storeLimit_) {
+  // A load from the store keeps its server from other orders for seconds, so
+  // that this waits until nobody asks for anything.
+  if (!byModel_.empty() || StoreLoads() >= storeLimit_) {
     return;
   }
   std::set<core::ModelName> known;
--- a/tests/ModelPlacementTest.cpp
+++ b/tests/ModelPlacementTest.cpp
@@ -367,6 +367,18 @@
   BOOST_TEST(loads[0].server_.Value() == "s2");
 }
 
+// A fetch ahead would keep its server from the orders that requests wait for.
+BOOST_FIXTURE_TEST_CASE(FetchesNothingAheadWhileRequestsRun, Fixture)
+{
+  Add(1, { "m1" });
+  Add(2, {});
+  RunAt(1, "m1", 1);
+  for (int step = 0; step < 40; ++step) {
+    now_ += 40ms;
+    BOOST_TEST(Decide().empty());
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(FetchesAsMuchAsItCanBeforeAnybodyAsks, Fixture)
 {
   for (int server = 1; server <= 6; ++server) {
