Bound the lines of a log; serve metrics of control processes

Change: core::LogBudget lets 400 lines a second through and the next line tells how many were left out.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -16,6 +16,8 @@
 using coordination::WeightTier;
 using transport::Task;
 
+constexpr const char* kOrdersMetric = "crocusslip_orders_total";
+constexpr const char* kOrdersHelp = "Orders to backend servers by outcome.";
 constexpr std::chrono::milliseconds kDecideInterval{ 40 };
 constexpr std::chrono::milliseconds kIdleInterval{ 100 };
 /// Beyond the lease of the holder before, for the clocks' differences.
@@ -88,14 +90,31 @@
                                  BackendPort& aPort,
                                  const core::Clock& aClock,
                                  ReadServices aReadServices,
-                                 FleetControllerSettings aSettings)
+                                 FleetControllerSettings aSettings,
+                                 core::MetricsRegistry& aMetrics)
   : loop_(aLoop)
   , group_(aGroup)
   , port_(aPort)
   , clock_(aClock)
   , readServices_(std::move(aReadServices))
   , settings_(std::move(aSettings))
+  , reports_(aMetrics.AddCounter("crocusslip_host_reports_total",
+                                 "",
+                                 "Reports of entry processes."))
+  , ordersDone_(aMetrics.AddCounter(kOrdersMetric,
+                                    "outcome=\"carried_out\"",
+                                    kOrdersHelp))
+  , ordersGivenUp_(
+      aMetrics.AddCounter(kOrdersMetric, "outcome=\"given_up\"", kOrdersHelp))
+  , ordersConflicted_(aMetrics.AddCounter("crocusslip_order_conflicts_total",
+                                          "",
+                                          "Orders that a server answered with "
+                                          "a conflict."))
 {
+  aMetrics.AddGauge("crocusslip_leads",
+                    "",
+                    "1 while this process decides for the fleet.",
+                    [this] { return group_.MayDecide() ? 1.0 : 0.0; });
 }
 
 void
@@ -339,6 +358,7 @@
   const core::MonotonicTime begin = clock_.Now();
   const bool done = co_await CarryOut(aOrder, aTerm);
   const core::MonotonicTime now = clock_.Now();
+  (done ? ordersDone_ : ordersGivenUp_).Add();
   core::Log(
     core::LogLevel::Info,
     done ? "order carried out" : "order given up",
@@ -428,6 +448,7 @@
         }
         break;
       case OrderReply::Conflict: {
+        ordersConflicted_.Add();
         // Mostly the order before is still under way; else the sequence is not
         // the one that was assumed.
         if (++conflicts % kConflictsToRead != 0) {
@@ -569,6 +590,7 @@
 FleetController::Sync(const wire::SyncRequest& aRequest,
                       wire::SyncReply& aReply)
 {
+  reports_.Add();
   if (!group_.MayDecide()) {
     aReply.leaderAddress = group_.LeaderAddress();
     return;
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -6,6 +6,7 @@
 #include "coordination/FleetTable.hpp"
 #include "coordination/ModelPlacement.hpp"
 #include "core/Clock.hpp"
+#include "core/Metrics.hpp"
 
 #include "fleet_types.h"
 
@@ -44,7 +45,8 @@
                   BackendPort& aPort,
                   const core::Clock& aClock,
                   ReadServices aReadServices,
-                  FleetControllerSettings aSettings);
+                  FleetControllerSettings aSettings,
+                  core::MetricsRegistry& aMetrics);
 
   void Start();
   /// Wakes hosts that wait for a change.
@@ -92,6 +94,10 @@
   const core::Clock& clock_;
   const ReadServices readServices_;
   const FleetControllerSettings settings_;
+  core::Counter& reports_;
+  core::Counter& ordersDone_;
+  core::Counter& ordersGivenUp_;
+  core::Counter& ordersConflicted_;
 
   /// Lock order 1: the group's locks are taken under it. Guards all below.
   mutable std::mutex mutex_;
--- a/core/Log.cpp
+++ b/core/Log.cpp
@@ -1,5 +1,7 @@
 #include "core/Log.hpp"
 
+#include "core/LogBudget.hpp"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -18,6 +20,10 @@
 constexpr long kLogFileBytes = 64L * 1024 * 1024;
 constexpr int kLogFilesKept = 5;
 
+/// Lines of a process in a second; a host takes some 40 requests a second at
+/// the two-year peak, with a few lines each.
+constexpr std::uint32_t kLinesPerSecond = 400;
+
 std::atomic<LogLevel> sLevel{ LogLevel::Info };
 
 log4cplus::LogLevel
@@ -125,6 +131,17 @@
   if (!LogEnabled(aLevel)) {
     return;
   }
+  static LogBudget sBudget(kLinesPerSecond);
+  const LogBudget::Verdict verdict =
+    sBudget.Admit(std::chrono::steady_clock::now());
+  if (!verdict.write_) {
+    return;
+  }
+  if (verdict.leftOut_ > 0) {
+    RootLogger().log(ToLibrary(LogLevel::Warning),
+                     "message=\"lines left out\" count=" +
+                       std::to_string(verdict.leftOut_));
+  }
   std::string line = "message=" + Quoted(std::string(aMessage));
   for (const LogField& field : aFields) {
     line += ' ';
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -354,6 +354,7 @@
             served += status == 200
         if served < 27:
             self.record.broken("not recovered", f"{served} of 30 requests served")
+        await self.check_leaders()
         begin = time.monotonic()
         status, text = 0, b""
         while status != 200 and time.monotonic() < begin + 4.0:
@@ -362,6 +363,14 @@
         if status != 200 or json.loads(text)["Version"] < newest:
             self.record.broken("an accepted change is lost", f"{status}, newest {newest}")
 
+    async def check_leaders(self):
+        leaders = 0
+        for process in self.system.control:
+            _, _, text = await wire.call(f"{process.ip}:{programs.CONTROL}", "GET", "/metrics")
+            leaders += b"\ncrocusslip_leads 1" in text
+        if leaders != 1:
+            self.record.broken("not recovered", f"{leaders} control processes say that they lead")
+
     def check_runs(self):
         for identity, (kind, status) in self.record.answers.items():
             runs = self.record.runs.get(identity, [])
