Split placement and the fleet's controller by job; one Milliseconds and Seconds

Cause: ModelPlacement.cpp (some 900 lines) held decisions and bookkeeping, FleetController.cpp (690) the list, the decisions and the orders; Milliseconds and Seconds stood in several files.

Change: ModelPlacementPlan.cpp, FleetControllerOrders.cpp and core/Durations.hpp; nothing behaves differently. GroupHostTest gives the controller its metrics.

--- /dev/null
+++ b/control/FleetControllerOrders.cpp
@@ -0,0 +1,267 @@
+// Orders to backend servers: sending one, waiting for its effect, and reading
+// back what a server holds.
+#include "control/FleetController.hpp"
+
+#include "core/Durations.hpp"
+#include "core/Log.hpp"
+
+namespace crocusslip::control {
+
+namespace {
+
+using coordination::PlacementOrder;
+using coordination::PlacementVerb;
+using coordination::WeightTier;
+using transport::Task;
+
+constexpr std::chrono::milliseconds kOrderRetry{ 60 };
+constexpr int kOrderTries = 40;
+/// Conflicts after which the engine's sequence is read again.
+constexpr int kConflictsToRead = 4;
+/// Sends of one order without an answer.
+constexpr int kUnknownTries = 4;
+constexpr std::chrono::milliseconds kUnloadTime{ 60 };
+constexpr std::chrono::milliseconds kLoadSlack{ 50 };
+constexpr std::chrono::milliseconds kReportInterval{ 200 };
+/// Longest time that an order's effect is waited for.
+constexpr std::chrono::seconds kLongestEffect{ 60 };
+constexpr std::chrono::milliseconds kRefreshInterval{ 1000 };
+
+const char*
+NameOf(WeightTier aTier)
+{
+  switch (aTier) {
+    case WeightTier::Memory:
+      return "memory";
+    case WeightTier::Disk:
+      return "disk";
+    case WeightTier::Store:
+      return "store";
+  }
+  return "";
+}
+
+const char*
+NameOf(OrderReply aReply)
+{
+  switch (aReply) {
+    case OrderReply::Accepted:
+      return "accepted";
+    case OrderReply::Holds:
+      return "holds";
+    case OrderReply::Conflict:
+      return "conflict";
+    case OrderReply::Fenced:
+      return "fenced";
+    case OrderReply::Elsewhere:
+      return "elsewhere";
+    case OrderReply::Invalid:
+      return "invalid";
+    case OrderReply::Unknown:
+      return "unknown";
+  }
+  return "";
+}
+
+} // namespace
+
+std::string
+FleetController::AddressOf(const core::ServerId& aServer)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = table_.Rows().find(aServer);
+  return found == table_.Rows().end() ? "" : found->second.row_.address_;
+}
+
+Task<std::optional<EngineReport>>
+FleetController::Report(core::ServerId aServer)
+{
+  const std::string address = AddressOf(aServer);
+  if (address.empty()) {
+    co_return std::nullopt;
+  }
+  auto report = co_await port_.ReadReport(address, aServer);
+  if (!report.Ok()) {
+    core::Log(core::LogLevel::Info,
+              "report not read",
+              { { "server", aServer.Value() },
+                { "error", report.Failure().Message() } });
+    co_return std::nullopt;
+  }
+  const std::lock_guard lock(mutex_);
+  engines_[aServer].sequence_ = report.Value().sequence_;
+  placement_.OnCopies(aServer, report.Value().copies_);
+  co_return std::move(report.Value());
+}
+
+Task<void>
+FleetController::RunOrder(PlacementOrder aOrder, core::Term aTerm)
+{
+  const core::MonotonicTime begin = clock_.Now();
+  const bool done = co_await CarryOut(aOrder, aTerm);
+  const core::MonotonicTime now = clock_.Now();
+  (done ? ordersDone_ : ordersGivenUp_).Add();
+  core::Log(
+    core::LogLevel::Info,
+    done ? "order carried out" : "order given up",
+    { { "server", aOrder.server_.Value() },
+      { "verb", aOrder.verb_ == PlacementVerb::Load ? "load" : "unload" },
+      { "model", aOrder.model_.Value() },
+      { "adapter", aOrder.adapter_ },
+      { "from", NameOf(aOrder.tier_) },
+      { "took_ms", std::to_string(core::Milliseconds(now - begin)) } });
+  {
+    const std::lock_guard lock(mutex_);
+    if (term_ != aTerm) {
+      co_return;
+    }
+    placement_.OnOrderDone(aOrder, done, now);
+    ShowModels();
+  }
+  changed_.notify_all();
+  if (!done && Leads(aTerm)) {
+    co_await Refresh(aOrder.server_, aTerm);
+  }
+}
+
+Task<bool>
+FleetController::CarryOut(PlacementOrder aOrder, core::Term aTerm)
+{
+  transport::asio::steady_timer timer(loop_);
+  int unanswered = 0;
+  int conflicts = 0;
+  for (int tries = 0; tries < kOrderTries; ++tries) {
+    std::optional<std::int64_t> sequence;
+    {
+      const std::lock_guard lock(mutex_);
+      sequence = engines_[aOrder.server_].sequence_;
+    }
+    if (!sequence) {
+      const auto report = co_await Report(aOrder.server_);
+      if (!report) {
+        co_return false;
+      }
+      sequence = report->sequence_;
+    }
+    const std::string address = AddressOf(aOrder.server_);
+    if (address.empty() || !Leads(aTerm)) {
+      co_return false;
+    }
+    const OrderSender sender{ settings_.holder_, aTerm.Value() };
+    const OrderReply reply =
+      co_await port_.SendOrder(address, aOrder, *sequence, sender);
+    if (reply != OrderReply::Accepted && reply != OrderReply::Holds) {
+      core::Log(core::LogLevel::Info,
+                "order not accepted",
+                { { "server", aOrder.server_.Value() },
+                  { "model", aOrder.model_.Value() },
+                  { "answer", NameOf(reply) },
+                  { "sequence", std::to_string(*sequence) } });
+    }
+    switch (reply) {
+      case OrderReply::Accepted: {
+        {
+          const std::lock_guard lock(mutex_);
+          engines_[aOrder.server_].sequence_ = *sequence + 1;
+        }
+        co_return co_await AwaitEffect(aOrder, aTerm);
+      }
+      case OrderReply::Holds: {
+        // An adapter that no request uses is unloaded with this answer, which
+        // counts in the sequence.
+        if (aOrder.verb_ == PlacementVerb::Unload) {
+          const std::lock_guard lock(mutex_);
+          engines_[aOrder.server_].sequence_ = *sequence + 1;
+        }
+        co_return true;
+      }
+      case OrderReply::Fenced: {
+        const std::lock_guard lock(mutex_);
+        fenced_ = true;
+        co_return false;
+      }
+      case OrderReply::Invalid:
+      case OrderReply::Elsewhere:
+        co_return false;
+      case OrderReply::Unknown:
+        // Sent again with the same sequence, only one of both can be accepted.
+        if (++unanswered >= kUnknownTries) {
+          co_return false;
+        }
+        break;
+      case OrderReply::Conflict: {
+        ordersConflicted_.Add();
+        // Mostly the order before is still under way; else the sequence is not
+        // the one that was assumed.
+        if (++conflicts % kConflictsToRead != 0) {
+          break;
+        }
+        const auto report = co_await Report(aOrder.server_);
+        if (!report || report->sequence_ != *sequence) {
+          // Somebody else's order: what the server holds is not what this one
+          // was planned on.
+          co_return false;
+        }
+        break;
+      }
+    }
+    co_await transport::Sleep(timer, kOrderRetry);
+  }
+  co_return false;
+}
+
+Task<bool>
+FleetController::AwaitEffect(PlacementOrder aOrder, core::Term aTerm)
+{
+  transport::asio::steady_timer timer(loop_);
+  const bool load = aOrder.verb_ == PlacementVerb::Load;
+  if (!aOrder.adapter_.empty()) {
+    co_await transport::Sleep(timer, load ? aOrder.expected_ : kUnloadTime);
+    co_return true;
+  }
+  bool quick = load && aOrder.tier_ != WeightTier::Store;
+  if (!load) {
+    const std::lock_guard lock(mutex_);
+    quick = !table_.ActiveAt(aOrder.server_).contains(aOrder.model_);
+  }
+  co_await transport::Sleep(timer,
+                            load ? aOrder.expected_ + kLoadSlack : kUnloadTime);
+  if (quick) {
+    co_return true;
+  }
+  const core::MonotonicTime until = clock_.Now() + kLongestEffect;
+  while (clock_.Now() < until && Leads(aTerm)) {
+    const auto report = co_await Report(aOrder.server_);
+    if (report && !report->busy_ &&
+        report->content_.models_.contains(aOrder.model_) == load) {
+      co_return true;
+    }
+    co_await transport::Sleep(timer, kReportInterval);
+  }
+  co_return false;
+}
+
+Task<void>
+FleetController::Refresh(core::ServerId aServer, core::Term aTerm)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    Engine& engine = engines_[aServer];
+    if (engine.refreshing_ ||
+        clock_.Now() < engine.refreshedAt_ + kRefreshInterval) {
+      co_return;
+    }
+    engine.refreshing_ = true;
+  }
+  const auto report = co_await Report(aServer);
+  const std::lock_guard lock(mutex_);
+  Engine& engine = engines_[aServer];
+  engine.refreshing_ = false;
+  engine.refreshedAt_ = clock_.Now();
+  if (report && !report->busy_ && term_ == aTerm) {
+    placement_.SetContent(aServer, report->content_);
+    ShowModels();
+  }
+}
+
+} // namespace crocusslip::control
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -1,6 +1,7 @@
 #include "entry/GatewayCall.hpp"
 
 #include "coordination/ModelPlacement.hpp"
+#include "core/Durations.hpp"
 #include "core/Hash.hpp"
 #include "core/Log.hpp"
 #include "entry/HopByHop.hpp"
@@ -65,12 +66,6 @@
   return value;
 }
 
-std::int64_t
-Milliseconds(core::Duration aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
-}
-
 std::string
 SecondsText(core::Duration aTime)
 {
@@ -456,8 +451,9 @@
       out.insert(field.name_string(), field.value());
     }
   }
-  out.set(names.deadlineMs_,
-          std::to_string(std::max<std::int64_t>(1, Milliseconds(Left()))));
+  out.set(
+    names.deadlineMs_,
+    std::to_string(std::max<std::int64_t>(1, core::Milliseconds(Left()))));
   out.set(names.expectedServer_, choice_.server_.Value());
   if (!need_.model_.Empty()) {
     out.set(names.urgency_, std::to_string(std::min(route_->priority_, 9U)));
@@ -584,7 +580,7 @@
             { { "request", id_ },
               { "server", choice_.server_.Value() },
               { "timeout", aServer.TimedOut() ? "yes" : "no" },
-              { "limit_ms", std::to_string(Milliseconds(limit)) } });
+              { "limit_ms", std::to_string(core::Milliseconds(limit)) } });
   Finish(aServer.TimedOut() && Left() > kPlainReserve ? SendOutcome::Unreachable
                                                       : SendOutcome::Failed);
   co_return Next::RetryMaybeRun;
@@ -632,9 +628,9 @@
       { "route", route_ == nullptr ? "" : route_->name_ },
       { "model", need_.model_.Value() },
       { "waited_ms",
-        std::to_string(Milliseconds(gateway_.clock_.Now() - begin_)) },
+        std::to_string(core::Milliseconds(gateway_.clock_.Now() - begin_)) },
       { "left_ms",
-        std::to_string(route_ == nullptr ? 0 : Milliseconds(Left())) } });
+        std::to_string(route_ == nullptr ? 0 : core::Milliseconds(Left())) } });
   const bool written = co_await link_->Write(answer);
   keep_ = keep_ && written;
 }
@@ -651,12 +647,12 @@
       { "model", need_.model_.Value() },
       { "tokens", std::string(request_[gateway_.settings_.headers_.tokens_]) },
       { "sends", std::to_string(sends_) },
-      { "placed_ms", std::to_string(Milliseconds(placedAfter_)) },
-      { "first_ms", std::to_string(Milliseconds(firstAfter_)) },
-      { "longest_pause_ms", std::to_string(Milliseconds(longestPause_)) },
+      { "placed_ms", std::to_string(core::Milliseconds(placedAfter_)) },
+      { "first_ms", std::to_string(core::Milliseconds(firstAfter_)) },
+      { "longest_pause_ms", std::to_string(core::Milliseconds(longestPause_)) },
       { "load", std::to_string(loadAtChoice_) },
       { "age_ms",
-        std::to_string(Milliseconds(gateway_.clock_.Now() - begin_)) } });
+        std::to_string(core::Milliseconds(gateway_.clock_.Now() - begin_)) } });
 }
 
 } // namespace crocusslip::entry
--- a/tests/GroupHostTest.cpp
+++ b/tests/GroupHostTest.cpp
@@ -75,7 +75,8 @@
           std::map<coordination::ServiceName, coordination::EngineLimits>;
         return core::Result<Limits>(Limits());
       },
-      control::FleetControllerSettings{});
+      control::FleetControllerSettings{},
+      metrics_);
     transport::RpcServerSettings rpc;
     rpc.port_ = aPort;
     server_ = std::make_unique<transport::RpcServer>(
@@ -92,6 +93,7 @@
   const core::SystemClock clock_;
   transport::asio::io_context loop_;
   NoServers port_;
+  core::MetricsRegistry metrics_;
   std::unique_ptr<control::GroupHost> group_;
   std::unique_ptr<control::FleetController> controller_;
   std::unique_ptr<transport::RpcServer> server_;
