Hand over requests for models that nobody loads when a host is stopped

While hosts were stopped in turn (11 s to 19 s) requests for models that nobody was loading waited 2.1 to 4.1 s at a stopping host and were refused then, with 17 to 22 s left: they could not be served there.

Change: at SIGTERM a request whose model no server has and none is bringing is refused at once as not run, with Retry-After 0; its caller goes to another host. Those for adapters wait, since these come in milliseconds.

Test: GatewayTest, HandsOverRequestsForModelsThatAreNotComing (fails before).

--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -334,12 +334,15 @@
     // This process ends soon; another host can still find a place.
     latest = std::min(latest, gateway_.waitUntil_);
   }
-  const auto coming =
-    gateway_.coming_.find(coordination::SplitModel(need_.model_).model_);
-  const bool tooLate = fit == Fit::NoModel &&
-                       coming != gateway_.coming_.end() &&
-                       coming->second > latest;
-  if (tooLate || latest <= now) {
+  const auto parts = coordination::SplitModel(need_.model_);
+  const auto coming = gateway_.coming_.find(parts.model_);
+  const bool isComing = coming != gateway_.coming_.end();
+  const bool tooLate =
+    fit == Fit::NoModel && isComing && coming->second > latest;
+  // Another host has more time for a model that nobody loads yet.
+  const bool handOver = gateway_.draining_ && fit == Fit::NoModel &&
+                        !isComing && parts.adapter_.empty();
+  if (tooLate || handOver || latest <= now) {
     return std::nullopt;
   }
   return latest;
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -42,13 +42,15 @@
   }
   void join(wire::JoinAnswer&, const wire::JoinRequest&) override {}
 
-  void AddServer(const std::string& aId, std::uint16_t aPort)
+  void AddServer(const std::string& aId,
+                 std::uint16_t aPort,
+                 const std::string& aService = "desk")
   {
     const std::lock_guard lock(mutex_);
     wire::ServerRow row;
     row.server = aId;
     row.address = "127.0.0.1:" + std::to_string(aPort);
-    row.serviceName = "desk";
+    row.serviceName = aService;
     row.slots = 4;
     reply_.rows.push_back(row);
   }
@@ -82,7 +84,9 @@
 };
 
 coordination::Route
-MakeRoute(const std::string& aPrefix, coordination::RequestKind aKind)
+MakeRoute(const std::string& aPrefix,
+          coordination::RequestKind aKind,
+          const std::string& aService = "desk")
 {
   coordination::Route route;
   route.name_ = aPrefix;
@@ -92,12 +96,20 @@
   route.timeout_ = 3s;
   route.objective_ = 100ms;
   route.patience_ = 2s;
-  route.services_ = { { coordination::ServiceName("desk"), 1 } };
+  route.services_ = { { coordination::ServiceName(aService), 1 } };
   route.maxAttempts_ = 2;
   route.resumable_ = true;
   return route;
 }
 
+coordination::EngineLimits
+MakeEngine()
+{
+  coordination::EngineLimits limits;
+  limits.models_[core::ModelName("m1")] = { 34, 1, 6000ms, 1000ms, 700ms };
+  return limits;
+}
+
 using Answerer =
   std::function<Task<void>(transport::CallerLink&, const HttpRequest&)>;
 
@@ -135,9 +147,12 @@
         1,
         { MakeRoute("/safe/", RequestKind::Idempotent),
           MakeRoute("/once/", RequestKind::AtMostOnce),
-          MakeRoute("/stream/", RequestKind::Stream) },
+          MakeRoute("/stream/", RequestKind::Stream),
+          MakeRoute("/model/", RequestKind::Stream, "llm") },
         { { coordination::ServiceName("desk"),
-            { coordination::ServiceName("desk"), 9, std::nullopt } } },
+            { coordination::ServiceName("desk"), 9, std::nullopt } },
+          { coordination::ServiceName("llm"),
+            { coordination::ServiceName("llm"), 9, MakeEngine() } } },
         {}));
     };
     gateway_ = std::make_unique<entry::Gateway>(loop_, settings, clock_);
@@ -486,6 +501,36 @@
 
 BOOST_AUTO_TEST_SUITE(WhenItDrains)
 
+// Incident inc-46fe: requests for models that nobody was loading waited for up
+// to 4 s at hosts that were being stopped, and were refused then.
+BOOST_FIXTURE_TEST_CASE(HandsOverRequestsForModelsThatAreNotComing, Fixture)
+{
+  fleet_->AddServer("e1", tests::FreePort(), "llm");
+  const auto ready = std::chrono::steady_clock::now() + kLongest;
+  while (!gateway_->Ready() && std::chrono::steady_clock::now() < ready) {
+    loop_.run_for(10ms);
+  }
+  bool done = false;
+  transport::WholeAnswer got;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    HttpRequest request = Request("/model/a");
+    request.set("Model", "m1");
+    auto answer = co_await transport::CallOnce(loop_, callers_, request, 5s);
+    if (answer.Ok()) {
+      got = std::move(answer.Value());
+    }
+    done = true;
+  });
+  loop_.run_for(300ms);
+  BOOST_TEST(!done);
+  const auto stopped = std::chrono::steady_clock::now();
+  gateway_->Drain();
+  RunUntil(done);
+  BOOST_TEST((std::chrono::steady_clock::now() - stopped < 1s));
+  BOOST_TEST(got.status_ == 503U);
+  BOOST_TEST(got.fields_["Retry-After"] == "0.00");
+}
+
 BOOST_FIXTURE_TEST_CASE(IsNotReadyAndStillServes, Fixture)
 {
   Serve("s1", Plain(kGood, "hello"));
