--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -49,6 +49,9 @@
 constexpr std::chrono::milliseconds kLeastSlow{ 150 };
 /// Retry-After when nothing better is known.
 constexpr std::chrono::milliseconds kRetryAfterDefault{ 500 };
+/// Time in which the control group decides on a load that a request needs, and
+/// tells of it.
+constexpr std::chrono::milliseconds kLoadDecided{ 500 };
 /// Servers lost by a request from which it is not sent again.
 constexpr std::uint32_t kSuspectServers = 2;
 /// Time kept for the way back of an answer.
@@ -339,9 +342,10 @@
   const bool isComing = coming != gateway_.coming_.end();
   const bool tooLate =
     fit == Fit::NoModel && isComing && coming->second > latest;
-  // Another host has more time for a model that nobody loads yet.
+  // Another host has more time for a model that nobody loads.
   const bool handOver = gateway_.draining_ && fit == Fit::NoModel &&
-                        !isComing && parts.adapter_.empty();
+                        !isComing && parts.adapter_.empty() &&
+                        now >= begin_ + kLoadDecided;
   if (tooLate || handOver || latest <= now) {
     return std::nullopt;
   }
