--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -218,10 +218,11 @@
   table_.Expire(now);
   guard_.Expire(now);
   placement_.OnDemand(table_.TakeDemand(), now);
+  auto active = table_.Active();
   for (const auto& [id, row] : table_.Rows()) {
     if (limits_.contains(row.row_.service_)) {
       placement_.OnActive(
-        id, table_.ActiveAt(id), row.inFlight_, row.row_.slowness_);
+        id, std::move(active[id]), row.inFlight_, row.row_.slowness_);
     }
   }
   if (now >= summaryAt_) {
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -27,6 +27,10 @@
 constexpr double kLeastTokenMicros = 1;
 /// Change of unread tokens that hosts are told.
 constexpr double kUnreadStep = 1500;
+/// Intervals of what looks at all servers; reports come hundreds of times a
+/// second from hundreds of hosts.
+constexpr std::chrono::milliseconds kCompareInterval{ 250 };
+constexpr std::chrono::milliseconds kPublishInterval{ 250 };
 /// Change of speed that hosts are told.
 constexpr double kSpeedStep = 0.1;
 /// Half-life of reported failures and successes.
@@ -132,8 +136,15 @@
 {
   Host& host = hosts_[aHost];
   host.lastReport_ = aNow;
+  Count(host, false);
+  std::set<core::ServerId> changed;
+  for (const auto& [server, use] : host.uses_) {
+    changed.insert(server);
+  }
   host.uses_ = aUses;
+  Count(host, true);
   for (const auto& [server, use] : aUses) {
+    changed.insert(server);
     LearnSpeed(server, use);
     if (use.failures_ == 0 && use.successes_ == 0) {
       continue;
@@ -151,8 +162,13 @@
       evidence.failedFor_.erase(aHost);
     }
   }
-  CompareSpeeds();
-  Recount(aNow);
+  if (aNow >= comparedAt_ + kCompareInterval) {
+    comparedAt_ = aNow;
+    CompareSpeeds();
+  }
+  for (const core::ServerId& server : changed) {
+    PublishLoad(server, aNow);
+  }
 }
 
 void
@@ -225,60 +241,84 @@
 void
 FleetTable::Expire(core::MonotonicTime aNow)
 {
-  const auto erased = std::erase_if(hosts_, [&](const auto& aEntry) {
-    return aNow - aEntry.second.lastReport_ > kHostSilence;
+  std::erase_if(hosts_, [&](const auto& aEntry) {
+    const bool silent = aNow - aEntry.second.lastReport_ > kHostSilence;
+    if (silent) {
+      Count(aEntry.second, false);
+    }
+    return silent;
   });
-  if (erased > 0) {
-    Recount(aNow);
+  if (aNow < publishedAt_ + kPublishInterval) {
+    return;
+  }
+  // Suspicion fades without any report.
+  publishedAt_ = aNow;
+  for (const auto& [id, row] : rows_) {
+    PublishLoad(id, aNow);
   }
 }
 
 void
-FleetTable::Recount(core::MonotonicTime aNow)
+FleetTable::Count(const Host& aHost, bool aAdd)
 {
-  for (auto& [id, row] : rows_) {
-    std::uint32_t inFlight = 0;
-    std::uint64_t tokens = 0;
-    std::uint64_t unread = 0;
-    for (const auto& [name, host] : hosts_) {
-      const auto use = host.uses_.find(id);
-      if (use != host.uses_.end()) {
-        inFlight += use->second.inFlight_;
-        tokens += use->second.tokens_;
-        unread += use->second.unread_;
-      }
+  for (const auto& [server, use] : aHost.uses_) {
+    Total& total = totals_[server];
+    if (aAdd) {
+      total.inFlight_ += use.inFlight_;
+      total.tokens_ += use.tokens_;
+      total.unread_ += use.unread_;
+    } else {
+      total.inFlight_ -= use.inFlight_;
+      total.tokens_ -= use.tokens_;
+      total.unread_ -= use.unread_;
     }
-    bool suspect = false;
-    const auto evidence = evidence_.find(id);
-    if (evidence != evidence_.end()) {
-      const Evidence& seen = evidence->second;
-      const double age = std::chrono::duration<double>(aNow - seen.at_).count();
-      const double failures =
-        seen.failures_ * std::exp2(-age / kEvidenceHalfLifeS);
-      // One host's trouble may be its own.
-      suspect =
-        seen.failedFor_.size() > 1 && failures >= kSuspectFailures &&
-        seen.failures_ > kSuspectShare * (seen.failures_ + seen.successes_);
-    }
-    const double tokenStep =
-      std::max<double>(1, static_cast<double>(row.row_.memoryTokens_) / 50);
-    if (Differs(row.inFlight_, inFlight, kLoadStep) ||
-        Differs(static_cast<double>(row.tokens_),
-                static_cast<double>(tokens),
-                tokenStep) ||
-        Differs(static_cast<double>(row.unread_),
-                static_cast<double>(unread),
-                kUnreadStep) ||
-        suspect != row.row_.suspect_) {
-      row.inFlight_ = inFlight;
-      row.tokens_ = tokens;
-      row.unread_ = unread;
-      row.row_.suspect_ = suspect;
-      Touch(row);
+    if (total.inFlight_ == 0 && total.tokens_ == 0 && total.unread_ == 0) {
+      totals_.erase(server);
     }
   }
 }
 
+void
+FleetTable::PublishLoad(const core::ServerId& aServer, core::MonotonicTime aNow)
+{
+  const auto entry = rows_.find(aServer);
+  if (entry == rows_.end()) {
+    return;
+  }
+  Row& row = entry->second;
+  const auto found = totals_.find(aServer);
+  const auto [inFlight, tokens, unread] =
+    found == totals_.end() ? Total{} : found->second;
+  bool suspect = false;
+  const auto evidence = evidence_.find(aServer);
+  if (evidence != evidence_.end()) {
+    const Evidence& seen = evidence->second;
+    const double age = std::chrono::duration<double>(aNow - seen.at_).count();
+    const double failures =
+      seen.failures_ * std::exp2(-age / kEvidenceHalfLifeS);
+    // One host's trouble may be its own.
+    suspect =
+      seen.failedFor_.size() > 1 && failures >= kSuspectFailures &&
+      seen.failures_ > kSuspectShare * (seen.failures_ + seen.successes_);
+  }
+  const double tokenStep =
+    std::max<double>(1, static_cast<double>(row.row_.memoryTokens_) / 50);
+  if (Differs(row.inFlight_, inFlight, kLoadStep) ||
+      Differs(static_cast<double>(row.tokens_),
+              static_cast<double>(tokens),
+              tokenStep) ||
+      Differs(static_cast<double>(row.unread_),
+              static_cast<double>(unread),
+              kUnreadStep) ||
+      suspect != row.row_.suspect_) {
+    row.inFlight_ = inFlight;
+    row.tokens_ = tokens;
+    row.unread_ = unread;
+    row.row_.suspect_ = suspect;
+    Touch(row);
+  }
+}
+
 void
 FleetTable::SetModels(const core::ServerId& aServer,
                       const std::set<core::ModelName>& aModels)
@@ -358,6 +398,18 @@
   return active;
 }
 
+std::map<core::ServerId, std::set<core::ModelName>>
+FleetTable::Active() const
+{
+  std::map<core::ServerId, std::set<core::ModelName>> active;
+  for (const auto& [name, host] : hosts_) {
+    for (const auto& [server, use] : host.uses_) {
+      active[server].insert(use.active_.begin(), use.active_.end());
+    }
+  }
+  return active;
+}
+
 std::uint32_t
 FleetTable::Hosts() const
 {
--- a/coordination/FleetTable.hpp
+++ b/coordination/FleetTable.hpp
@@ -78,6 +78,8 @@
   /// Demand of all hosts; arrivals since the last call.
   std::map<core::ModelName, ModelDemand> TakeDemand();
   std::set<core::ModelName> ActiveAt(const core::ServerId& aServer) const;
+  /// Models that run at each server, in one pass over the hosts.
+  std::map<core::ServerId, std::set<core::ModelName>> Active() const;
   std::uint32_t Hosts() const;
   const std::map<core::ServerId, Row>& Rows() const { return rows_; }
 
@@ -100,15 +102,29 @@
   void CompareSpeeds();
   void Touch(Row& aRow);
   void TouchUrgently(Row& aRow);
-  void Recount(core::MonotonicTime aNow);
+  /// Takes what a host does off the totals, or adds it.
+  void Count(const Host& aHost, bool aAdd);
+  /// Publishes a server's total if it differs enough from what hosts were told.
+  void PublishLoad(const core::ServerId& aServer, core::MonotonicTime aNow);
+
+  struct Total
+  {
+    std::uint32_t inFlight_ = 0;
+    std::uint64_t tokens_ = 0;
+    std::uint64_t unread_ = 0;
+  };
 
   std::map<core::ServerId, Row> rows_;
+  /// What all hosts do at each server now.
+  std::map<core::ServerId, Total> totals_;
   /// Servers that are gone stay listed as such for a while.
   std::map<core::ServerId, core::MonotonicTime> goneSince_;
   std::map<core::HostId, Host> hosts_;
   std::map<core::ServerId, Evidence> evidence_;
   /// Runs that began lately, by which servers of a service are compared.
   std::map<core::ServerId, PromptSample> prompts_;
+  core::MonotonicTime comparedAt_;
+  core::MonotonicTime publishedAt_;
   std::uint64_t change_ = 1;
   std::uint64_t urgentChange_ = 1;
 };
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -305,7 +305,7 @@
 std::vector<PlacementOrder>
 ModelPlacement::Decide(core::MonotonicTime aNow)
 {
-  ShareRates();
+  ShareRates(aNow);
   PlanModels(aNow);
   PlanAdapters(aNow);
   PlanPrefetch(aNow);
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -194,7 +194,7 @@
                                 core::MonotonicTime aNow,
                                 bool aUrgent) const;
   void Plan(const Candidate& aCandidate, const core::ModelName& aModel);
-  void ShareRates();
+  void ShareRates(core::MonotonicTime aNow);
   void PlanModels(core::MonotonicTime aNow);
   void PlanAdapters(core::MonotonicTime aNow);
   void PlanAdapter(const ModelParts& aParts, core::MonotonicTime aNow);
@@ -212,6 +212,7 @@
   /// Models in use, with their adapters' requests.
   std::map<core::ModelName, ModelDemand> byModel_;
   core::MonotonicTime demandAt_;
+  core::MonotonicTime sharedAt_;
   /// When models that wait for the weight store should be there.
   std::map<core::ModelName, core::MonotonicTime> queued_;
   /// Loads that the store is believed to serve at once at full speed.
--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -33,6 +33,8 @@
 /// Share of the requests for models that are held which need an order all the
 /// same, for an adapter or because the model was given up meanwhile.
 constexpr double kHeldShare = 0.1;
+/// Rates of requests have a half-life of seconds.
+constexpr std::chrono::milliseconds kShareInterval{ 300 };
 /// Cost, in seconds, of a server that is slower by the whole mean.
 constexpr double kSlownessCostS = 0.5;
 
@@ -41,34 +43,53 @@
 // The requests of a model that are expected at each server that has its
 // weights.
 void
-ModelPlacement::ShareRates()
+ModelPlacement::ShareRates(core::MonotonicTime aNow)
 {
+  if (aNow < sharedAt_ + kShareInterval) {
+    return;
+  }
+  sharedAt_ = aNow;
   std::map<core::ModelName, double> rates;
   for (const auto& [name, need] : needs_) {
     rates[SplitModel(name).model_] += need.rate_;
   }
-  const auto has = [](const Server& aServer, const core::ModelName& aModel) {
-    return aServer.models_.contains(aModel) ||
-           aServer.copies_.onDisk_.contains(aModel);
+  struct Homes
+  {
+    double servers_ = 0;
+    bool held_ = false;
   };
-  for (auto& [id, server] : servers_) {
-    server.homeRate_ = 0;
-  }
-  for (const auto& [model, rate] : rates) {
-    std::vector<Server*> homes;
-    bool held = false;
-    for (auto& [id, server] : servers_) {
-      held = held || server.models_.contains(model);
-      if (has(server, model)) {
-        homes.push_back(&server);
+  std::map<core::ModelName, Homes> homes;
+  // Each model that a server holds or has on its disk, once.
+  const auto forEach = [](const Server& aServer, const auto& aVisit) {
+    for (const auto& [model, held] : aServer.models_) {
+      aVisit(model);
+    }
+    for (const core::ModelName& model : aServer.copies_.onDisk_) {
+      if (!aServer.models_.contains(model)) {
+        aVisit(model);
       }
     }
-    // A model that is held needs no order until it is given up.
-    const double share = (held ? kHeldShare : 1.0) * rate;
-    for (Server* server : homes) {
-      server->homeRate_ += share / static_cast<double>(homes.size());
+  };
+  for (const auto& [id, server] : servers_) {
+    forEach(server, [&](const core::ModelName& aModel) {
+      homes[aModel].servers_ += 1;
+    });
+    for (const auto& [model, held] : server.models_) {
+      homes[model].held_ = true;
     }
   }
+  for (auto& [id, server] : servers_) {
+    server.homeRate_ = 0;
+    forEach(server, [&, &own = server](const core::ModelName& aModel) {
+      const auto rate = rates.find(aModel);
+      if (rate != rates.end()) {
+        const Homes& all = homes[aModel];
+        // A model that is held needs no order until it is given up.
+        own.homeRate_ +=
+          (all.held_ ? kHeldShare : 1.0) * rate->second / all.servers_;
+      }
+    });
+  }
 }
 
 // What is lost, in request seconds, when the server no longer has the model;
