--- a/control/ControlService.cpp
+++ b/control/ControlService.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlService.hpp"
 
+#include "core/Durations.hpp"
 #include "core/Hash.hpp"
 #include "core/Log.hpp"
 #include "protocol/Version.hpp"
@@ -17,13 +18,6 @@
 /// A host that has not polled for this long is no longer listed.
 constexpr std::chrono::minutes kForgetHost{ 10 };
 
-std::int64_t
-Milliseconds(core::Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
-    .count();
-}
-
 std::int8_t
 WireStanding(coordination::ServerStanding aStanding)
 {
@@ -303,7 +297,7 @@
     }
     const auto readyIn = capacity_.ReadyIn(
       { core::DeploymentId(view.deployment), core::ServerId(view.server) });
-    view.readyAtMs = readyIn ? Milliseconds(*readyIn) : 0;
+    view.readyAtMs = readyIn ? core::Milliseconds(*readyIn) : 0;
   }
   return change;
 }
@@ -402,7 +396,7 @@
       core::HostId(aRequest.host),
       core::Revision(static_cast<std::uint64_t>(aReply.settingsRevision)),
       clock_.Now());
-    aReply.leaseMs = Milliseconds(grant.length_);
+    aReply.leaseMs = core::Milliseconds(grant.length_);
   }
   (aRequest.base == 0 ? pollsComplete_ : polls_).Add();
 }
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -124,6 +124,7 @@
     if (old) {
       rows_.erase(aEntry.first);
       evidence_.erase(aEntry.first);
+      prompts_.erase(aEntry.first);
     }
     return old;
   });
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "entry/Gateway.hpp"
 
+#include "coordination/ModelPlacement.hpp"
 #include "core/Log.hpp"
 #include "core/Reasons.hpp"
 #include "entry/GatewayCall.hpp"
@@ -45,6 +46,16 @@
   "broken",        "malformed",     "draining",
 };
 
+coordination::CrashGuardSettings
+MakeGuardSettings()
+{
+  coordination::CrashGuardSettings settings;
+  settings.maxServersLost_ = kServersLost;
+  settings.maxSuspects_ = kSuspects;
+  settings.maxProven_ = kSuspects;
+  return settings;
+}
+
 } // namespace
 
 const char*
@@ -82,11 +93,7 @@
   , instance_(static_cast<std::int64_t>(random_.Next() >> 2U))
   , counters_(std::make_unique<Counters>(metrics_))
   , view_(settings_.failureDomain_)
-  , guard_({ kServersLost,
-             std::chrono::seconds(2),
-             std::chrono::minutes(10),
-             kSuspects,
-             kSuspects })
+  , guard_(MakeGuardSettings())
   , fleet_(
       aLoop,
       [this] { return Report(); },
@@ -474,12 +481,26 @@
                    const core::ServerId& aServer)
 {
   guard_.OnBreak(aFingerprint, aServer, clock_.Now());
+  ReportBreak(aFingerprint, aServer);
+}
+
+void
+Gateway::ReportBreak(const core::Digest& aFingerprint,
+                     const core::ServerId& aServer)
+{
   wire::Crash crash;
   crash.request = ToWire(aFingerprint);
   crash.server = aServer.Value();
   crashes_.push_back(std::move(crash));
 }
 
+std::optional<core::MonotonicTime>
+Gateway::ComingAt(const core::ModelName& aModel) const
+{
+  const auto coming = coming_.find(coordination::SplitModel(aModel).model_);
+  return coming == coming_.end() ? std::nullopt : std::optional(coming->second);
+}
+
 void
 Gateway::NoteCompleted(const core::Digest& aFingerprint)
 {
@@ -496,10 +517,7 @@
     // A new leader knows nothing yet of what this host has met.
     crashes_.clear();
     for (const auto& seen : guard_.Breaks(clock_.Now())) {
-      wire::Crash crash;
-      crash.request = ToWire(seen.fingerprint_);
-      crash.server = seen.server_.Value();
-      crashes_.push_back(std::move(crash));
+      ReportBreak(seen.fingerprint_, seen.server_);
     }
     return;
   }
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -88,6 +89,11 @@
   void NoteBreak(const core::Digest& aFingerprint,
                  const core::ServerId& aServer);
   void NoteCompleted(const core::Digest& aFingerprint);
+  void ReportBreak(const core::Digest& aFingerprint,
+                   const core::ServerId& aServer);
+  /// When the model should be at a server; nothing when nobody loads it.
+  std::optional<core::MonotonicTime> ComingAt(
+    const core::ModelName& aModel) const;
 
   /// Gives free places to waiting calls.
   void AssignPlaces();
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -337,15 +337,13 @@
     // This process ends soon; another host can still find a place.
     latest = std::min(latest, gateway_.waitUntil_);
   }
-  const auto parts = coordination::SplitModel(need_.model_);
-  const auto coming = gateway_.coming_.find(parts.model_);
-  const bool isComing = coming != gateway_.coming_.end();
-  const bool tooLate =
-    fit == Fit::NoModel && isComing && coming->second > latest;
+  const auto coming = gateway_.ComingAt(need_.model_);
+  const bool tooLate = fit == Fit::NoModel && coming && *coming > latest;
   // Another host has more time for a model that nobody loads.
-  const bool handOver = gateway_.draining_ && fit == Fit::NoModel &&
-                        !isComing && parts.adapter_.empty() &&
-                        now >= begin_ + kLoadDecided;
+  const bool handOver =
+    gateway_.draining_ && fit == Fit::NoModel && !coming &&
+    coordination::SplitModel(need_.model_).adapter_.empty() &&
+    now >= begin_ + kLoadDecided;
   if (tooLate || handOver || latest <= now) {
     return std::nullopt;
   }
@@ -425,10 +423,9 @@
   GatewayRefusal reason = GatewayRefusal::NoServer;
   if (fit == Fit::NoModel) {
     reason = GatewayRefusal::NoModel;
-    const auto coming =
-      gateway_.coming_.find(coordination::SplitModel(need_.model_).model_);
-    if (coming != gateway_.coming_.end() && coming->second > now) {
-      retryAfter = coming->second - now;
+    const auto coming = gateway_.ComingAt(need_.model_);
+    if (coming && *coming > now) {
+      retryAfter = *coming - now;
     }
   } else if (fit == Fit::Full) {
     reason = GatewayRefusal::Full;
