--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -4,6 +4,8 @@
 #include "core/Log.hpp"
 #include "protocol/FingerprintWire.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -72,9 +74,57 @@
 void
 FleetController::Changed()
 {
-  // Called under the group's state lock, so without mutex_. A host that began
-  // to wait in between sees the change at the end of its wait.
-  changed_.notify_all();
+  // Called under the group's state lock, which is taken after mutex_.
+  transport::asio::post(loop_, [this] {
+    if (!group_.MayDecide()) {
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    TakeRoutes();
+    NotifyHosts();
+  });
+}
+
+bool
+FleetController::MustAnswer(const WaitingHost& aHost) const
+{
+  if (term_ != aHost.term_) {
+    return true;
+  }
+  const auto sent = urgentSent_.find(aHost.host_);
+  if (table_.MustNotify(aHost.host_,
+                        sent == urgentSent_.end() ? 0 : sent->second)) {
+    return true;
+  }
+  return routesVersion_ > aHost.routesVersion_ && table_.NotifiesAll();
+}
+
+void
+FleetController::NotifyHosts()
+{
+  for (WaitingHost* host : waitingHosts_) {
+    if (!host->woken_ && MustAnswer(*host)) {
+      host->woken_ = true;
+      host->wake_.notify_one();
+    }
+  }
+}
+
+void
+FleetController::AwaitChange(const wire::SyncRequest& aRequest,
+                             std::chrono::milliseconds aWait,
+                             std::unique_lock<std::mutex>& aLock)
+{
+  WaitingHost host;
+  host.host_ = core::HostId(aRequest.host);
+  host.term_ = term_;
+  host.routesVersion_ = static_cast<std::uint64_t>(aRequest.routesVersion);
+  if (aWait <= std::chrono::milliseconds(0) || MustAnswer(host)) {
+    return;
+  }
+  waitingHosts_.insert(&host);
+  host.wake_.wait_for(aLock, aWait, [&] { return host.woken_; });
+  waitingHosts_.erase(&host);
 }
 
 bool
@@ -181,7 +231,7 @@
         }
         listed_ = listed_ || !limits_.empty();
         ShowModels();
-        changed_.notify_all();
+        NotifyHosts();
       } else if (!list.Ok()) {
         core::Log(core::LogLevel::Warning,
                   "list of servers not read",
@@ -239,7 +289,7 @@
   const std::uint64_t before = table_.UrgentVersion();
   ShowModels();
   if (table_.UrgentVersion() != before) {
-    changed_.notify_all();
+    NotifyHosts();
   }
   return orders;
 }
@@ -295,6 +345,7 @@
     }
     const core::ServerId server(use.server);
     if (!use.missing.empty()) {
+      table_.Republish(server);
       transport::Spawn(
         loop_, [this, server, term = term_] { return Refresh(server, term); });
     }
@@ -351,11 +402,7 @@
   const auto wait =
     std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
   if (known) {
-    changed_.wait_for(lock, wait, [&] {
-      return term_ != term || urgentSent_[host] != table_.UrgentVersion() ||
-             routesVersion_ >
-               static_cast<std::uint64_t>(aRequest.routesVersion);
-    });
+    AwaitChange(aRequest, wait, lock);
   }
   if (!group_.MayDecide() || term_ != group_.Term()) {
     aReply.leaderAddress = group_.LeaderAddress();
@@ -365,6 +412,45 @@
   urgentSent_[host] = table_.UrgentVersion();
 }
 
+void
+FleetController::FillRows(const core::HostId& aHost,
+                          std::uint64_t aSeen,
+                          wire::SyncReply& aReply)
+{
+  for (const coordination::BackendRow& row : table_.RowsFor(aHost, aSeen)) {
+    wire::ServerLoad load;
+    load.server = row.server_.Value();
+    load.inFlight = static_cast<std::int32_t>(row.othersInFlight_);
+    load.tokens = static_cast<std::int64_t>(row.othersTokens_);
+    load.suspect = row.suspect_;
+    load.speedPercent = static_cast<std::int32_t>(100 * row.slowness_);
+    load.tokenNanos = static_cast<std::int32_t>(row.tokenTime_.count());
+    load.unreadTokens = static_cast<std::int64_t>(row.othersPrefillTokens_);
+    if (row.loadOnly_) {
+      aReply.loads.push_back(std::move(load));
+      continue;
+    }
+    wire::ServerRow out;
+    out.server = load.server;
+    out.address = row.address_;
+    out.serviceName = row.service_.Value();
+    out.failureDomain = row.failureDomain_.Value();
+    out.state = static_cast<std::int8_t>(row.state_);
+    out.slots = static_cast<std::int32_t>(row.slots_);
+    for (const core::ModelName& model : row.models_) {
+      out.models.push_back(model.Value());
+    }
+    out.inFlight = load.inFlight;
+    out.tokens = load.tokens;
+    out.suspect = load.suspect;
+    out.memoryTokens = static_cast<std::int64_t>(row.memoryTokens_);
+    out.speedPercent = load.speedPercent;
+    out.tokenNanos = load.tokenNanos;
+    out.unreadTokens = load.unreadTokens;
+    aReply.rows.push_back(std::move(out));
+  }
+}
+
 void
 FleetController::Fill(const wire::SyncRequest& aRequest,
                       wire::SyncReply& aReply,
@@ -382,27 +468,7 @@
     known ? static_cast<std::uint64_t>(aRequest.seen) : std::uint64_t{ 0 };
   aReply.seen = static_cast<std::int64_t>(table_.Version());
   if (listed_) {
-    for (const coordination::BackendRow& row :
-         table_.RowsFor(core::HostId(aRequest.host), seen)) {
-      wire::ServerRow out;
-      out.server = row.server_.Value();
-      out.address = row.address_;
-      out.serviceName = row.service_.Value();
-      out.failureDomain = row.failureDomain_.Value();
-      out.state = static_cast<std::int8_t>(row.state_);
-      out.slots = static_cast<std::int32_t>(row.slots_);
-      for (const core::ModelName& model : row.models_) {
-        out.models.push_back(model.Value());
-      }
-      out.inFlight = static_cast<std::int32_t>(row.othersInFlight_);
-      out.tokens = static_cast<std::int64_t>(row.othersTokens_);
-      out.speedPercent = static_cast<std::int32_t>(100 * row.slowness_);
-      out.tokenNanos = static_cast<std::int32_t>(row.tokenTime_.count());
-      out.unreadTokens = static_cast<std::int64_t>(row.othersPrefillTokens_);
-      out.suspect = row.suspect_;
-      out.memoryTokens = static_cast<std::int64_t>(row.memoryTokens_);
-      aReply.rows.push_back(std::move(out));
-    }
+    FillRows(core::HostId(aRequest.host), seen, aReply);
   }
   const auto group = group_.Current();
   if (group) {
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace crocusslip::control {
@@ -49,7 +50,7 @@
                   core::MetricsRegistry& aMetrics);
 
   void Start();
-  /// Wakes hosts that wait for a change.
+  /// Sends waiting hosts what has changed. Called on any thread.
   void Changed();
   /// A host's report; answers what the host has not seen. Waits up to the
   /// time that the host allows. Called on threads of the RPC server.
@@ -63,6 +64,16 @@
     bool refreshing_ = false;
   };
 
+  /// A call of a host that is held until something changes.
+  struct WaitingHost
+  {
+    core::HostId host_;
+    core::Term term_;
+    std::uint64_t routesVersion_ = 0;
+    std::condition_variable wake_;
+    bool woken_ = false;
+  };
+
   transport::Task<void> ListLoop();
   transport::Task<void> DecideLoop();
   transport::Task<void> RunOrder(coordination::PlacementOrder aOrder,
@@ -87,6 +98,18 @@
   void Fill(const wire::SyncRequest& aRequest,
             wire::SyncReply& aReply,
             core::MonotonicTime aNow);
+  /// Adds the rows of servers that the host has not seen.
+  void FillRows(const core::HostId& aHost,
+                std::uint64_t aSeen,
+                wire::SyncReply& aReply);
+  /// Holds a host's call until there is something to tell it, for aWait at
+  /// most.
+  void AwaitChange(const wire::SyncRequest& aRequest,
+                   std::chrono::milliseconds aWait,
+                   std::unique_lock<std::mutex>& aLock);
+  bool MustAnswer(const WaitingHost& aHost) const;
+  /// Ends the wait of the calls for which there is news.
+  void NotifyHosts();
 
   transport::asio::io_context& loop_;
   GroupHost& group_;
@@ -101,7 +124,8 @@
 
   /// Lock order 1: the group's locks are taken under it. Guards all below.
   mutable std::mutex mutex_;
-  std::condition_variable changed_;
+  /// Entries belong to the threads that wait.
+  std::set<WaitingHost*> waitingHosts_;
   core::Term term_;
   core::MonotonicTime ordersFrom_;
   core::MonotonicTime summaryAt_;
@@ -114,6 +138,7 @@
   coordination::CrashGuard guard_{ coordination::CrashGuardSettings{} };
   std::map<coordination::ServiceName, coordination::EngineLimits> limits_;
   std::map<core::ServerId, Engine> engines_;
+  /// Urgent version of the table with each host's last answer.
   std::map<core::HostId, std::uint64_t> urgentSent_;
 };
 
--- a/control/FleetControllerOrders.cpp
+++ b/control/FleetControllerOrders.cpp
@@ -117,8 +117,8 @@
     }
     placement_.OnOrderDone(aOrder, done, now);
     ShowModels();
+    NotifyHosts();
   }
-  changed_.notify_all();
   if (!done && Leads(aTerm)) {
     co_await Refresh(aOrder.server_, aTerm);
   }
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -68,8 +68,22 @@
 void
 BackendView::Update(BackendRow aRow)
 {
-  Server& server = servers_[aRow.server_];
-  server.row_ = std::move(aRow);
+  if (!aRow.loadOnly_) {
+    Server& server = servers_[aRow.server_];
+    server.row_ = std::move(aRow);
+    return;
+  }
+  const auto found = servers_.find(aRow.server_);
+  if (found == servers_.end()) {
+    return;
+  }
+  BackendRow& row = found->second.row_;
+  row.othersInFlight_ = aRow.othersInFlight_;
+  row.othersTokens_ = aRow.othersTokens_;
+  row.othersPrefillTokens_ = aRow.othersPrefillTokens_;
+  row.slowness_ = aRow.slowness_;
+  row.tokenTime_ = aRow.tokenTime_;
+  row.suspect_ = aRow.suspect_;
 }
 
 void
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -47,6 +47,9 @@
   std::uint64_t othersPrefillTokens_ = 0;
   /// Several hosts recently had failures on it.
   bool suspect_ = false;
+  /// Only the server's id and its figures of load, speed and suspicion are set;
+  /// the rest is as in the row before.
+  bool loadOnly_ = false;
 };
 
 /// Sums over started runs, for a linear regression of prefill time on prompt
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -44,6 +44,9 @@
 /// Share of failed answers, and number of them, from which a server is suspect.
 constexpr double kMinSuspectShare = 0.2;
 constexpr double kMinSuspectFailures = 2;
+/// Up to this many hosts, all are sent each urgent change at once. With more,
+/// the leader could do little else.
+constexpr std::size_t kMaxHostsNotified = 16;
 
 /// Microseconds until the first stream event: a constant, and a part per prompt
 /// token.
@@ -89,12 +92,61 @@
 }
 
 void
-FleetTable::MarkUrgentlyChanged(Row& aRow)
+FleetTable::MarkFactsChanged(Row& aRow)
 {
   MarkChanged(aRow);
+  aRow.factsVersion_ = aRow.version_;
+}
+
+void
+FleetTable::MarkUrgentlyChanged(Row& aRow)
+{
+  MarkFactsChanged(aRow);
   ++urgentVersion_;
 }
 
+void
+FleetTable::MarkWaitingHosts(const std::set<core::ModelName>& aOld,
+                             const std::set<core::ModelName>& aNew)
+{
+  for (const core::ModelName& model : aNew) {
+    if (aOld.contains(model)) {
+      continue;
+    }
+    for (auto& [name, host] : hosts_) {
+      const auto demand = host.demand_.find(model);
+      if (demand != host.demand_.end() && demand->second.waiting_ > 0) {
+        host.awaitedVersion_ = urgentVersion_;
+      }
+    }
+  }
+}
+
+bool
+FleetTable::NotifiesAll() const
+{
+  return hosts_.size() <= kMaxHostsNotified;
+}
+
+bool
+FleetTable::MustNotify(const core::HostId& aHost, std::uint64_t aSent) const
+{
+  if (NotifiesAll()) {
+    return urgentVersion_ > aSent;
+  }
+  const auto host = hosts_.find(aHost);
+  return host != hosts_.end() && host->second.awaitedVersion_ > aSent;
+}
+
+void
+FleetTable::Republish(const core::ServerId& aServer)
+{
+  const auto found = rows_.find(aServer);
+  if (found != rows_.end()) {
+    MarkFactsChanged(found->second);
+  }
+}
+
 void
 FleetTable::OnList(const std::vector<ListedServer>& aList,
                    core::MonotonicTime aNow)
@@ -340,8 +392,9 @@
 {
   const auto found = rows_.find(aServer);
   if (found != rows_.end() && found->second.row_.models_ != aModels) {
-    found->second.row_.models_ = aModels;
     MarkUrgentlyChanged(found->second);
+    MarkWaitingHosts(found->second.row_.models_, aModels);
+    found->second.row_.models_ = aModels;
   }
 }
 
@@ -365,7 +418,16 @@
     if (row.version_ <= aSeen) {
       continue;
     }
-    BackendRow result = row.row_;
+    BackendRow result;
+    if (row.factsVersion_ > aSeen) {
+      result = row.row_;
+    } else {
+      result.loadOnly_ = true;
+      result.server_ = id;
+      result.slowness_ = row.row_.slowness_;
+      result.tokenTime_ = row.row_.tokenTime_;
+      result.suspect_ = row.row_.suspect_;
+    }
     std::uint32_t inFlight = row.inFlight_;
     std::uint64_t tokens = row.tokens_;
     std::uint64_t prefillTokens = row.prefillTokens_;
--- a/coordination/FleetTable.hpp
+++ b/coordination/FleetTable.hpp
@@ -53,6 +53,8 @@
     /// The state of the server that is published to hosts.
     BackendRow row_;
     std::uint64_t version_ = 0;
+    /// Version of its last change other than load, speed and suspicion.
+    std::uint64_t factsVersion_ = 0;
     /// Requests and tokens of all hosts as last published.
     std::uint32_t inFlight_ = 0;
     std::uint64_t tokens_ = 0;
@@ -84,8 +86,17 @@
   /// Grows only with changes that hosts must be sent at once: all except load,
   /// speed and suspicion.
   std::uint64_t UrgentVersion() const { return urgentVersion_; }
-  /// Rows that changed after version aSeen. Their load leaves out the host's
-  /// own requests.
+  /// Whether the host is sent the urgent changes after urgent version aSent at
+  /// once. With many hosts only those are that wait for a model which has
+  /// become available; the others get the changes with their next report.
+  bool MustNotify(const core::HostId& aHost, std::uint64_t aSent) const;
+  /// Whether the hosts are few enough to send all of them each change at once.
+  bool NotifiesAll() const;
+  /// Sends the server's whole row to the hosts again: one of them found that
+  /// it differs from the server.
+  void Republish(const core::ServerId& aServer);
+  /// Rows that changed after version aSeen; without their facts if only load,
+  /// speed or suspicion did. Their load leaves out the host's own requests.
   std::vector<BackendRow> RowsFor(const core::HostId& aHost,
                                   std::uint64_t aSeen) const;
   /// The demand of all hosts; its arrivals are those since the last call.
@@ -103,6 +114,9 @@
     core::MonotonicTime lastReport_;
     std::map<core::ServerId, HostUsage> usage_;
     std::map<core::ModelName, ModelDemand> demand_;
+    /// Urgent version at which a model became available that its requests wait
+    /// for.
+    std::uint64_t awaitedVersion_ = 0;
   };
   /// Failures and successes of requests at a server, decayed with time.
   struct FailureStats
@@ -118,7 +132,12 @@
   /// Compares each server's prompt times with the mean of its service.
   void CompareSpeeds();
   void MarkChanged(Row& aRow);
+  void MarkFactsChanged(Row& aRow);
   void MarkUrgentlyChanged(Row& aRow);
+  /// Marks the hosts whose requests wait for a model of aNew that is not in
+  /// aOld.
+  void MarkWaitingHosts(const std::set<core::ModelName>& aOld,
+                        const std::set<core::ModelName>& aNew);
   /// Adds a host's usage to the totals, or subtracts it if aAdd is false.
   void UpdateTotals(const Host& aHost, bool aAdd);
   /// Publishes a server's total load and suspicion, if the load differs enough
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -242,33 +242,37 @@
   return size->second.storeLoad_;
 }
 
-std::uint32_t
-ModelPlacement::ReplicaCount(const core::ModelName& aModel) const
+void
+ModelPlacement::CountReplicas()
 {
-  return static_cast<std::uint32_t>(
-    std::ranges::count_if(servers_, [&](const auto& aEntry) {
+  replicas_.clear();
+  for (const auto& [id, server] : servers_) {
+    std::set<core::ModelName> unloading;
+    std::set<core::ModelName> loading;
+    for (const PlacementOrder& order : server.plan_) {
+      if (order.adapter_.empty()) {
+        (order.verb_ == PlacementVerb::Load ? loading : unloading)
+          .insert(order.model_);
+      }
+    }
+    for (const auto& [model, loaded] : server.models_) {
       // A replica that is about to be unloaded must not justify unloading
       // another one.
-      return aEntry.second.models_.contains(aModel) &&
-             std::ranges::none_of(
-               aEntry.second.plan_, [&](const PlacementOrder& aOrder) {
-                 return aOrder.verb_ == PlacementVerb::Unload &&
-                        aOrder.adapter_.empty() && aOrder.model_ == aModel;
-               });
-    }));
+      if (!unloading.contains(model)) {
+        ++replicas_[model].loaded_;
+      }
+    }
+    for (const core::ModelName& model : loading) {
+      ++replicas_[model].planned_;
+    }
+  }
 }
 
-std::uint32_t
-ModelPlacement::PlannedLoads(const core::ModelName& aModel) const
+ModelPlacement::Replicas
+ModelPlacement::ReplicasOf(const core::ModelName& aModel) const
 {
-  return static_cast<std::uint32_t>(
-    std::ranges::count_if(servers_, [&](const auto& aEntry) {
-      return std::ranges::any_of(
-        aEntry.second.plan_, [&](const PlacementOrder& aOrder) {
-          return aOrder.verb_ == PlacementVerb::Load &&
-                 aOrder.adapter_.empty() && aOrder.model_ == aModel;
-        });
-    }));
+  const auto found = replicas_.find(aModel);
+  return found == replicas_.end() ? Replicas{} : found->second;
 }
 
 std::uint32_t
@@ -314,6 +318,7 @@
 ModelPlacement::Decide(core::MonotonicTime aNow)
 {
   UpdateOrderRates(aNow);
+  CountReplicas();
   PlanModels(aNow);
   PlanAdapters(aNow);
   PlanPrefetch(aNow);
@@ -433,11 +438,12 @@
   for (std::size_t i = 0; i < std::min(aModels, busiest.size()); ++i) {
     const core::ModelName& model = busiest[i].second;
     const ModelDemand demand = DemandOf(model);
+    const Replicas replicas = ReplicasOf(model);
     text += (text.empty() ? "" : " ") + model.Value() + ":" +
             std::to_string(demand.waiting_) + "w" +
             std::to_string(demand.inFlight_) + "r" +
-            std::to_string(ReplicaCount(model)) + "h" +
-            std::to_string(PlannedLoads(model)) + "c";
+            std::to_string(replicas.loaded_) + "h" +
+            std::to_string(replicas.planned_) + "c";
   }
   return text;
 }
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -171,6 +171,13 @@
     double rate_ = 0;
     core::MonotonicTime lastUsed_;
   };
+  struct Replicas
+  {
+    /// Servers that have the model loaded and do not plan to unload it.
+    std::uint32_t loaded_ = 0;
+    /// Servers with a load of the model planned or in progress.
+    std::uint32_t planned_ = 0;
+  };
   /// A server on which a model could be loaded, and the evictions that needs.
   struct Candidate
   {
@@ -195,10 +202,9 @@
                                      const core::ModelName& aModel,
                                      WeightTier aTier) const;
   std::chrono::milliseconds StoreLoadTime(const core::ModelName& aModel) const;
-  /// Servers that have the model loaded and do not plan to unload it.
-  std::uint32_t ReplicaCount(const core::ModelName& aModel) const;
-  /// Servers with a load of the model planned or in progress.
-  std::uint32_t PlannedLoads(const core::ModelName& aModel) const;
+  /// Counts the replicas of all models.
+  void CountReplicas();
+  Replicas ReplicasOf(const core::ModelName& aModel) const;
   ModelDemand DemandOf(const core::ModelName& aModel) const;
   /// The expected cost of unloading the model, in seconds on the scale of
   /// Candidate::cost_; nothing when it must stay.
@@ -246,6 +252,8 @@
   std::map<core::ModelName, DemandStats> demandStats_;
   /// Demand per model, with that for its adapters; only models with requests.
   std::map<core::ModelName, ModelDemand> demandByModel_;
+  /// Kept up to date while Decide plans.
+  std::map<core::ModelName, Replicas> replicas_;
   core::MonotonicTime demandAt_;
   core::MonotonicTime orderRatesAt_;
   /// Expected ready times of models whose load is not planned yet: they wait
--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -103,7 +103,7 @@
                              core::MonotonicTime aNow) const
 {
   const ModelDemand demand = DemandOf(aModel);
-  const std::uint32_t replicas = ReplicaCount(aModel);
+  const std::uint32_t replicas = ReplicasOf(aModel).loaded_;
   // A model in use is evicted only if its other replicas can take its load.
   if (aServer.active_.contains(aModel) || demand.waiting_ > 0) {
     const double load = demand.waiting_ + demand.inFlight_;
@@ -217,6 +217,7 @@
   Server& server = servers_.at(aCandidate.server_);
   const EngineLimits& limits = *LimitsOf(server);
   for (const core::ModelName& victim : aCandidate.evict_) {
+    --replicas_[victim].loaded_;
     server.plan_.push_back({ aCandidate.server_,
                              PlacementVerb::Unload,
                              victim,
@@ -224,6 +225,7 @@
                              WeightTier::Memory,
                              std::chrono::milliseconds(0) });
   }
+  ++replicas_[aModel].planned_;
   server.plan_.push_back({ aCandidate.server_,
                            PlacementVerb::Load,
                            aModel,
@@ -243,8 +245,7 @@
   };
   std::vector<WantedReplica> wantedReplicas;
   for (const auto& [model, demand] : demandByModel_) {
-    const std::uint32_t replicas = ReplicaCount(model);
-    const std::uint32_t plannedLoads = PlannedLoads(model);
+    const auto [replicas, plannedLoads] = ReplicasOf(model);
     const double load = demand.waiting_ + demand.inFlight_;
     const auto desired =
       static_cast<std::uint32_t>(std::ceil(load / kLoadPerReplica));
--- a/entry/FleetLink.cpp
+++ b/entry/FleetLink.cpp
@@ -1,6 +1,7 @@
 #include "entry/FleetLink.hpp"
 
 #include "Fleet.h"
+#include "coordination/ReportTimes.hpp"
 #include "core/Log.hpp"
 #include "state/ListenAddress.hpp"
 #include "transport/RpcClient.hpp"
@@ -16,24 +17,19 @@
 
 namespace {
 
-/// Report interval with few hosts. It grows with the number of hosts, by one
-/// base interval per kHostsPerBaseInterval, so that the number of calls that
-/// the leader answers per second stays about the same.
-constexpr std::chrono::milliseconds kBaseInterval{ 100 };
-constexpr std::int32_t kHostsPerBaseInterval = 16;
-constexpr std::chrono::milliseconds kMaxInterval{ 600 };
+/// Interval at which the thread checks whether it must stop.
+constexpr std::chrono::milliseconds kStopCheckInterval{ 100 };
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
-/// Exceeds the time for which the leader holds a call without changes (at most
-/// kMaxInterval, which the host requests).
+/// Exceeds the time for which the leader may hold a call without changes.
 constexpr std::chrono::milliseconds kCallTimeout{ 1200 };
 constexpr std::chrono::milliseconds kRetryPause{ 50 };
-constexpr std::chrono::milliseconds kMinPause{ 20 };
 
-std::chrono::milliseconds
-IntervalFor(std::int32_t aHosts)
+bool
+HasWaitingRequests(const wire::SyncRequest& aReport)
 {
-  const std::int32_t steps = std::max(1, aHosts / kHostsPerBaseInterval);
-  return std::min(kBaseInterval * steps, kMaxInterval);
+  return std::ranges::any_of(aReport.models, [](const wire::ModelUse& aUse) {
+    return aUse.waiting > 0;
+  });
 }
 
 } // namespace
@@ -96,6 +92,17 @@
   syncRequested_ = false;
 }
 
+void
+FleetLink::Pause(std::chrono::milliseconds aLeast,
+                 std::chrono::milliseconds aMost)
+{
+  std::unique_lock lock(mutex_);
+  wake_.wait_for(lock, aLeast, [this] { return stopping_; });
+  wake_.wait_for(
+    lock, aMost - aLeast, [this] { return stopping_ || syncRequested_; });
+  syncRequested_ = false;
+}
+
 std::string
 FleetLink::NextAddress(const std::string& aFailed)
 {
@@ -133,14 +140,17 @@
     auto ready = request->get_future();
     transport::asio::post(
       loop_, [this, request] { request->set_value(buildRequest_()); });
-    while (ready.wait_for(kBaseInterval) != std::future_status::ready) {
+    while (ready.wait_for(kStopCheckInterval) != std::future_status::ready) {
       const std::lock_guard lock(mutex_);
       if (stopping_) {
         return true;
       }
     }
     wire::SyncRequest message = ready.get();
-    message.waitMs = static_cast<std::int32_t>(IntervalFor(hosts_).count());
+    const coordination::ReportTimes times = coordination::ReportTimesFor(
+      static_cast<std::uint32_t>(std::max(0, hosts_.load())),
+      HasWaitingRequests(message));
+    message.waitMs = static_cast<std::int32_t>(times.hold_.count());
     wire::SyncReply reply;
     const core::Status status = rpc.Call(
       [&](wire::FleetClient& aClient) { aClient.sync(reply, message); });
@@ -164,7 +174,7 @@
       }
     }
     transport::asio::post(loop_, [this, reply] { onReply_(reply); });
-    WaitUnlessWoken(kMinPause);
+    Pause(times.minPause_, times.pause_);
   }
 }
 
--- a/entry/FleetLink.hpp
+++ b/entry/FleetLink.hpp
@@ -50,6 +50,8 @@
   /// empty when none is known.
   std::string NextAddress(const std::string& aFailed);
   void WaitUnlessWoken(std::chrono::milliseconds aTime);
+  /// Waits for aMost, or until SyncNow is called, but for aLeast.
+  void Pause(std::chrono::milliseconds aLeast, std::chrono::milliseconds aMost);
 
   transport::asio::io_context& loop_;
   const RequestBuilder buildRequest_;
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -58,6 +58,25 @@
   return settings;
 }
 
+/// Takes the load of a wire::ServerRow or wire::ServerLoad.
+template<typename Figures>
+void
+SetLoad(coordination::BackendRow& aRow, const Figures& aFigures)
+{
+  aRow.othersInFlight_ =
+    static_cast<std::uint32_t>(std::max(0, aFigures.inFlight));
+  aRow.othersTokens_ =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(0, aFigures.tokens));
+  // speedPercent is the time for a prompt relative to the mean server, so
+  // higher is slower; 0: not known.
+  aRow.slowness_ =
+    aFigures.speedPercent > 0 ? aFigures.speedPercent / 100.0 : 1.0;
+  aRow.tokenTime_ = std::chrono::nanoseconds(std::max(0, aFigures.tokenNanos));
+  aRow.othersPrefillTokens_ = static_cast<std::uint64_t>(
+    std::max<std::int64_t>(0, aFigures.unreadTokens));
+  aRow.suspect_ = aFigures.suspect;
+}
+
 } // namespace
 
 const char*
@@ -574,16 +593,7 @@
     for (const std::string& model : row.models) {
       out.models_.insert(core::ModelName(model));
     }
-    out.othersInFlight_ = static_cast<std::uint32_t>(std::max(0, row.inFlight));
-    out.othersTokens_ =
-      static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.tokens));
-    // speedPercent is the time for a prompt relative to the mean server, so
-    // higher is slower; 0: not known.
-    out.slowness_ = row.speedPercent > 0 ? row.speedPercent / 100.0 : 1.0;
-    out.tokenTime_ = std::chrono::nanoseconds(std::max(0, row.tokenNanos));
-    out.othersPrefillTokens_ =
-      static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.unreadTokens));
-    out.suspect_ = row.suspect;
+    SetLoad(out, row);
     if (out.state_ == coordination::BackendState::Gone) {
       pool_.Drop(out.server_);
       view_.Remove(out.server_);
@@ -591,6 +601,13 @@
     }
     view_.Update(std::move(out));
   }
+  for (const wire::ServerLoad& load : aReply.loads) {
+    coordination::BackendRow out;
+    out.server_ = core::ServerId(load.server);
+    out.loadOnly_ = true;
+    SetLoad(out, load);
+    view_.Update(std::move(out));
+  }
   hasServerRows_ = hasServerRows_ || view_.Size() > 0;
 }
 
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -1738,6 +1738,218 @@
 }
 
 
+ServerLoad::~ServerLoad() noexcept {
+}
+
+
+void ServerLoad::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerLoad::__set_inFlight(const int32_t val) {
+  this->inFlight = val;
+}
+
+void ServerLoad::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void ServerLoad::__set_suspect(const bool val) {
+  this->suspect = val;
+}
+
+void ServerLoad::__set_speedPercent(const int32_t val) {
+  this->speedPercent = val;
+}
+
+void ServerLoad::__set_tokenNanos(const int32_t val) {
+  this->tokenNanos = val;
+}
+
+void ServerLoad::__set_unreadTokens(const int64_t val) {
+  this->unreadTokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->inFlight);
+          this->__isset.inFlight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspect);
+          this->__isset.suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->speedPercent);
+          this->__isset.speedPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokenNanos);
+          this->__isset.tokenNanos = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unreadTokens);
+          this->__isset.unreadTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerLoad");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->inFlight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspect", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->suspect);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speedPercent", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->speedPercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokenNanos", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->tokenNanos);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unreadTokens", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->unreadTokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerLoad &a, ServerLoad &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.inFlight, b.inFlight);
+  swap(a.tokens, b.tokens);
+  swap(a.suspect, b.suspect);
+  swap(a.speedPercent, b.speedPercent);
+  swap(a.tokenNanos, b.tokenNanos);
+  swap(a.unreadTokens, b.unreadTokens);
+  swap(a.__isset, b.__isset);
+}
+
+ServerLoad::ServerLoad(const ServerLoad& other62) {
+  server = other62.server;
+  inFlight = other62.inFlight;
+  tokens = other62.tokens;
+  suspect = other62.suspect;
+  speedPercent = other62.speedPercent;
+  tokenNanos = other62.tokenNanos;
+  unreadTokens = other62.unreadTokens;
+  __isset = other62.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other63) {
+  server = other63.server;
+  inFlight = other63.inFlight;
+  tokens = other63.tokens;
+  suspect = other63.suspect;
+  speedPercent = other63.speedPercent;
+  tokenNanos = other63.tokenNanos;
+  unreadTokens = other63.unreadTokens;
+  __isset = other63.__isset;
+  return *this;
+}
+void ServerLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerLoad(";
+  out << "server=" << to_string(server);
+  out << ", " << "inFlight=" << to_string(inFlight);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "suspect=" << to_string(suspect);
+  out << ", " << "speedPercent=" << to_string(speedPercent);
+  out << ", " << "tokenNanos=" << to_string(tokenNanos);
+  out << ", " << "unreadTokens=" << to_string(unreadTokens);
+  out << ")";
+}
+
+
 ComingModel::~ComingModel() noexcept {
 }
 
@@ -1830,15 +2042,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other62) {
-  model = other62.model;
-  readyInMs = other62.readyInMs;
-  __isset = other62.__isset;
+ComingModel::ComingModel(const ComingModel& other64) {
+  model = other64.model;
+  readyInMs = other64.readyInMs;
+  __isset = other64.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other63) {
-  model = other63.model;
-  readyInMs = other63.readyInMs;
-  __isset = other63.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other65) {
+  model = other65.model;
+  readyInMs = other65.readyInMs;
+  __isset = other65.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -1901,6 +2113,10 @@
 void SyncReply::__set_suspects(const std::vector<Suspect> & val) {
   this->suspects = val;
 }
+
+void SyncReply::__set_loads(const std::vector<ServerLoad> & val) {
+  this->loads = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -1973,14 +2189,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->rows.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->rows.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->rows[_i68].read(iprot);
+              xfer += this->rows[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2009,14 +2225,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->members.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->members.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += iprot->readString(this->members[_i73]);
+              xfer += iprot->readString(this->members[_i75]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2037,14 +2253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->coming.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->coming.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->coming[_i78].read(iprot);
+              xfer += this->coming[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2057,14 +2273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->suspects.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->suspects.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->suspects[_i83].read(iprot);
+              xfer += this->suspects[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2073,6 +2289,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->loads.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += this->loads[_i90].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2113,10 +2349,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter84;
-    for (_iter84 = this->rows.begin(); _iter84 != this->rows.end(); ++_iter84)
+    std::vector<ServerRow> ::const_iterator _iter91;
+    for (_iter91 = this->rows.begin(); _iter91 != this->rows.end(); ++_iter91)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2133,10 +2369,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter85;
-    for (_iter85 = this->members.begin(); _iter85 != this->members.end(); ++_iter85)
+    std::vector<std::string> ::const_iterator _iter92;
+    for (_iter92 = this->members.begin(); _iter92 != this->members.end(); ++_iter92)
     {
-      xfer += oprot->writeString((*_iter85));
+      xfer += oprot->writeString((*_iter92));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2149,10 +2385,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter86;
-    for (_iter86 = this->coming.begin(); _iter86 != this->coming.end(); ++_iter86)
+    std::vector<ComingModel> ::const_iterator _iter93;
+    for (_iter93 = this->coming.begin(); _iter93 != this->coming.end(); ++_iter93)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2161,10 +2397,22 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter87;
-    for (_iter87 = this->suspects.begin(); _iter87 != this->suspects.end(); ++_iter87)
+    std::vector<Suspect> ::const_iterator _iter94;
+    for (_iter94 = this->suspects.begin(); _iter94 != this->suspects.end(); ++_iter94)
+    {
+      xfer += (*_iter94).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<ServerLoad> ::const_iterator _iter95;
+    for (_iter95 = this->loads.begin(); _iter95 != this->loads.end(); ++_iter95)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2189,38 +2437,41 @@
   swap(a.hosts, b.hosts);
   swap(a.coming, b.coming);
   swap(a.suspects, b.suspects);
+  swap(a.loads, b.loads);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other88) {
-  leader = other88.leader;
-  leaderAddress = other88.leaderAddress;
-  epoch = other88.epoch;
-  seen = other88.seen;
-  complete = other88.complete;
-  rows = other88.rows;
-  routesVersion = other88.routesVersion;
-  routes = other88.routes;
-  members = other88.members;
-  hosts = other88.hosts;
-  coming = other88.coming;
-  suspects = other88.suspects;
-  __isset = other88.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other89) {
-  leader = other89.leader;
-  leaderAddress = other89.leaderAddress;
-  epoch = other89.epoch;
-  seen = other89.seen;
-  complete = other89.complete;
-  rows = other89.rows;
-  routesVersion = other89.routesVersion;
-  routes = other89.routes;
-  members = other89.members;
-  hosts = other89.hosts;
-  coming = other89.coming;
-  suspects = other89.suspects;
-  __isset = other89.__isset;
+SyncReply::SyncReply(const SyncReply& other96) {
+  leader = other96.leader;
+  leaderAddress = other96.leaderAddress;
+  epoch = other96.epoch;
+  seen = other96.seen;
+  complete = other96.complete;
+  rows = other96.rows;
+  routesVersion = other96.routesVersion;
+  routes = other96.routes;
+  members = other96.members;
+  hosts = other96.hosts;
+  coming = other96.coming;
+  suspects = other96.suspects;
+  loads = other96.loads;
+  __isset = other96.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other97) {
+  leader = other97.leader;
+  leaderAddress = other97.leaderAddress;
+  epoch = other97.epoch;
+  seen = other97.seen;
+  complete = other97.complete;
+  rows = other97.rows;
+  routesVersion = other97.routesVersion;
+  routes = other97.routes;
+  members = other97.members;
+  hosts = other97.hosts;
+  coming = other97.coming;
+  suspects = other97.suspects;
+  loads = other97.loads;
+  __isset = other97.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -2238,6 +2489,7 @@
   out << ", " << "hosts=" << to_string(hosts);
   out << ", " << "coming=" << to_string(coming);
   out << ", " << "suspects=" << to_string(suspects);
+  out << ", " << "loads=" << to_string(loads);
   out << ")";
 }
 
@@ -2368,19 +2620,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other90) {
-  address = other90.address;
-  failureDomain = other90.failureDomain;
-  disk = other90.disk;
-  member = other90.member;
-  __isset = other90.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other98) {
+  address = other98.address;
+  failureDomain = other98.failureDomain;
+  disk = other98.disk;
+  member = other98.member;
+  __isset = other98.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other91) {
-  address = other91.address;
-  failureDomain = other91.failureDomain;
-  disk = other91.disk;
-  member = other91.member;
-  __isset = other91.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other99) {
+  address = other99.address;
+  failureDomain = other99.failureDomain;
+  disk = other99.disk;
+  member = other99.member;
+  __isset = other99.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -2473,14 +2725,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->members.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->members.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += iprot->readString(this->members[_i96]);
+              xfer += iprot->readString(this->members[_i104]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2493,14 +2745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->memberIds.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->memberIds.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readI32(this->memberIds[_i101]);
+              xfer += iprot->readI32(this->memberIds[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2541,10 +2793,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter102;
-    for (_iter102 = this->members.begin(); _iter102 != this->members.end(); ++_iter102)
+    std::vector<std::string> ::const_iterator _iter110;
+    for (_iter110 = this->members.begin(); _iter110 != this->members.end(); ++_iter110)
     {
-      xfer += oprot->writeString((*_iter102));
+      xfer += oprot->writeString((*_iter110));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2553,10 +2805,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter103;
-    for (_iter103 = this->memberIds.begin(); _iter103 != this->memberIds.end(); ++_iter103)
+    std::vector<int32_t> ::const_iterator _iter111;
+    for (_iter111 = this->memberIds.begin(); _iter111 != this->memberIds.end(); ++_iter111)
     {
-      xfer += oprot->writeI32((*_iter103));
+      xfer += oprot->writeI32((*_iter111));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2577,21 +2829,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other104) {
-  leader = other104.leader;
-  leaderAddress = other104.leaderAddress;
-  member = other104.member;
-  members = other104.members;
-  memberIds = other104.memberIds;
-  __isset = other104.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other105) {
-  leader = other105.leader;
-  leaderAddress = other105.leaderAddress;
-  member = other105.member;
-  members = other105.members;
-  memberIds = other105.memberIds;
-  __isset = other105.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other112) {
+  leader = other112.leader;
+  leaderAddress = other112.leaderAddress;
+  member = other112.member;
+  members = other112.members;
+  memberIds = other112.memberIds;
+  __isset = other112.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other113) {
+  leader = other113.leader;
+  leaderAddress = other113.leaderAddress;
+  member = other113.member;
+  members = other113.members;
+  memberIds = other113.memberIds;
+  __isset = other113.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -35,6 +35,8 @@
 
 class ServerRow;
 
+class ServerLoad;
+
 class ComingModel;
 
 class SyncReply;
@@ -656,6 +658,91 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerRow& obj);
 
+typedef struct _ServerLoad__isset {
+  _ServerLoad__isset() : server(false), inFlight(false), tokens(false), suspect(false), speedPercent(false), tokenNanos(false), unreadTokens(false) {}
+  bool server :1;
+  bool inFlight :1;
+  bool tokens :1;
+  bool suspect :1;
+  bool speedPercent :1;
+  bool tokenNanos :1;
+  bool unreadTokens :1;
+} _ServerLoad__isset;
+
+class ServerLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerLoad(const ServerLoad&);
+  ServerLoad& operator=(const ServerLoad&);
+  ServerLoad() noexcept
+             : server(),
+               inFlight(0),
+               tokens(0),
+               suspect(0),
+               speedPercent(0),
+               tokenNanos(0),
+               unreadTokens(0) {
+  }
+
+  virtual ~ServerLoad() noexcept;
+  std::string server;
+  int32_t inFlight;
+  int64_t tokens;
+  bool suspect;
+  int32_t speedPercent;
+  int32_t tokenNanos;
+  int64_t unreadTokens;
+
+  _ServerLoad__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_inFlight(const int32_t val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_suspect(const bool val);
+
+  void __set_speedPercent(const int32_t val);
+
+  void __set_tokenNanos(const int32_t val);
+
+  void __set_unreadTokens(const int64_t val);
+
+  bool operator == (const ServerLoad & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(inFlight == rhs.inFlight))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(suspect == rhs.suspect))
+      return false;
+    if (!(speedPercent == rhs.speedPercent))
+      return false;
+    if (!(tokenNanos == rhs.tokenNanos))
+      return false;
+    if (!(unreadTokens == rhs.unreadTokens))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerLoad &a, ServerLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerLoad& obj);
+
 typedef struct _ComingModel__isset {
   _ComingModel__isset() : model(false), readyInMs(false) {}
   bool model :1;
@@ -707,7 +794,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -720,6 +807,7 @@
   bool hosts :1;
   bool coming :1;
   bool suspects :1;
+  bool loads :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -751,6 +839,7 @@
   int32_t hosts;
   std::vector<ComingModel>  coming;
   std::vector<Suspect>  suspects;
+  std::vector<ServerLoad>  loads;
 
   _SyncReply__isset __isset;
 
@@ -778,6 +867,8 @@
 
   void __set_suspects(const std::vector<Suspect> & val);
 
+  void __set_loads(const std::vector<ServerLoad> & val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -804,6 +895,8 @@
       return false;
     if (!(suspects == rhs.suspects))
       return false;
+    if (!(loads == rhs.loads))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -81,6 +81,17 @@
   15: i64 unreadTokens   // of prompts that other hosts' requests have there
 }
 
+// The figures of a ServerRow that change with each request.
+struct ServerLoad {
+  1: string server
+  2: i32 inFlight
+  3: i64 tokens
+  4: bool suspect
+  5: i32 speedPercent
+  6: i32 tokenNanos
+  7: i64 unreadTokens
+}
+
 struct ComingModel {
   1: string model
   2: i32 readyInMs
@@ -100,6 +111,7 @@
   11: i32 hosts          // that called within the last seconds
   12: list<ComingModel> coming
   13: list<Suspect> suspects  // all that two servers or more were lost from
+  14: list<ServerLoad> loads  // of servers of which nothing else has changed
 }
 
 struct JoinRequest {
--- a/tests/BackendViewTest.cpp
+++ b/tests/BackendViewTest.cpp
@@ -112,6 +112,24 @@
     (Choose(Requirements("m1")).status_ == BackendChoiceStatus::NoModel));
 }
 
+BOOST_FIXTURE_TEST_CASE(KeepsTheFactsOfARowWhenOnlyItsLoadChanges, Fixture)
+{
+  BackendRow row = Row("s1");
+  row.models_ = { core::ModelName("m1") };
+  view_.Update(row);
+  BackendRow load;
+  load.server_ = row.server_;
+  load.loadOnly_ = true;
+  load.othersInFlight_ = 3;
+  view_.Update(load);
+  BOOST_TEST(view_.Find(row.server_)->address_ == row.address_);
+  BOOST_TEST(view_.Find(row.server_)->models_.size() == 1U);
+  BOOST_TEST(view_.LoadOf(row.server_) == 3U);
+  load.server_ = core::ServerId("unknown");
+  view_.Update(load);
+  BOOST_TEST(view_.Size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(IsRefusedWhenTheTokenMemoryWouldOverflow, Fixture)
 {
   BackendRow row = Row("s1", 64);
--- a/tests/FleetTableTest.cpp
+++ b/tests/FleetTableTest.cpp
@@ -3,6 +3,7 @@
 
 #include "coordination/FleetTable.hpp"
 #include "coordination/MemberRepair.hpp"
+#include "coordination/ReportTimes.hpp"
 #include "coordination/SharedRetryBudget.hpp"
 
 #include <string>
@@ -101,6 +102,98 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(RowsForHosts)
+
+BOOST_AUTO_TEST_CASE(LeaveOutFactsThatTheHostHas)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1") }, kStart);
+  table.SetModels(core::ServerId("s1"), { core::ModelName("m1") });
+  const std::uint64_t seen = table.Version();
+  table.OnUsage(kSecondHost, UsageOf("s1", 7), kStart);
+  const auto rows = table.RowsFor(kFirstHost, seen);
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST(rows[0].loadOnly_);
+  BOOST_TEST(rows[0].models_.empty());
+  BOOST_TEST(rows[0].othersInFlight_ == 7U);
+  BOOST_TEST(!table.RowsFor(kFirstHost, 0)[0].loadOnly_);
+}
+
+// A host that was answered "no such model" has dropped the model.
+BOOST_AUTO_TEST_CASE(AreWholeAgainOnceAHostFoundThemWrong)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1") }, kStart);
+  const std::uint64_t seen = table.Version();
+  table.Republish(core::ServerId("s1"));
+  const auto rows = table.RowsFor(kFirstHost, seen);
+  BOOST_REQUIRE(rows.size() == 1U);
+  BOOST_TEST(!rows[0].loadOnly_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// The load: 300 hosts, of which two wait for a model, and some 50 changes of
+/// loaded models a second.
+BOOST_AUTO_TEST_SUITE(NoticesToManyHosts)
+
+BOOST_AUTO_TEST_CASE(GoOnlyToThoseThatWaitForTheModel)
+{
+  FleetTable table;
+  table.OnList({ Listed("s1") }, kStart);
+  std::map<core::ModelName, ModelDemand> waits;
+  waits[core::ModelName("m1")].waiting_ = 1;
+  constexpr int kHosts = 300;
+  for (int i = 0; i < kHosts; ++i) {
+    const core::HostId host("h" + std::to_string(i));
+    table.OnUsage(host, {}, kStart);
+    table.OnDemand(host, i < 2 ? waits : decltype(waits){}, kStart);
+  }
+  const std::uint64_t sent = table.UrgentVersion();
+  const auto notified = [&] {
+    int count = 0;
+    for (int i = 0; i < kHosts; ++i) {
+      count += table.MustNotify(core::HostId("h" + std::to_string(i)), sent);
+    }
+    return count;
+  };
+  table.SetModels(core::ServerId("s1"), { core::ModelName("other") });
+  BOOST_TEST(notified() == 0);
+  table.SetModels(core::ServerId("s1"), { core::ModelName("m1") });
+  BOOST_TEST(notified() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(GoToAllOfFewHosts)
+{
+  FleetTable table;
+  table.OnUsage(kFirstHost, {}, kStart);
+  const std::uint64_t sent = table.UrgentVersion();
+  table.OnList({ Listed("s1") }, kStart);
+  BOOST_TEST(table.MustNotify(kFirstHost, sent));
+  BOOST_TEST(!table.MustNotify(kFirstHost, table.UrgentVersion()));
+}
+
+BOOST_AUTO_TEST_CASE(KeepTheReportsOfAllHostsBounded)
+{
+  constexpr double kMaxReportsPerSecond = 700;
+  for (const std::uint32_t hosts : { 1U, 9U, 70U, 295U }) {
+    const ReportTimes idle = ReportTimesFor(hosts, false);
+    const std::chrono::duration<double> cycle = idle.hold_ + idle.pause_;
+    BOOST_TEST(hosts / cycle.count() < kMaxReportsPerSecond);
+    // A leaving server and a new configuration are known in time.
+    BOOST_TEST((idle.hold_ + idle.pause_ < 1s));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HoldNoCallOfAHostOfManyWithoutWaitingRequests)
+{
+  BOOST_TEST((ReportTimesFor(295, false).hold_ == 0ms));
+  BOOST_TEST((ReportTimesFor(295, true).hold_ > 0ms));
+  BOOST_TEST((ReportTimesFor(295, false).minPause_ < 200ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(FleetLoad)
 
 BOOST_AUTO_TEST_CASE(ExcludesTheReceivingHostsOwnRequests)
