Bound what a server may send, and end no accepted request in a planned stop

Change: ServerLink reads ahead at most 64 KiB, skips up to 8 interim answers and reads at most 64 KiB of a refusal; calls hold at most 4 MiB of an answer and 32 MiB together; an event has at most 64 KiB; progress of a stream is a whole event; a stop accepts what waits to be accepted and waits for requests that are being read. An exception that ends a coroutine is logged, one in a handler no longer ends the process (RunLoop).

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -227,7 +227,13 @@
     const bool wantsKeepAlive = request.keep_alive();
     ++activeCalls_;
     auto call = std::make_shared<GatewayCall>(*this, aLink, std::move(request));
-    keepAlive = co_await call->Run() && wantsKeepAlive && !draining_;
+    try {
+      keepAlive = co_await call->Run() && wantsKeepAlive && !draining_;
+    } catch (...) {
+      transport::LogUnexpected(std::current_exception());
+      aLink->Abort();
+      keepAlive = false;
+    }
     --activeCalls_;
   }
   aLink->SetBusy(true);
@@ -305,7 +311,7 @@
   for (const LinkPtr& link : callerLinks_) {
     link->EndIdle();
   }
-  while (activeCalls_ > 0 &&
+  while (HasUnfinishedCalls() &&
          clock_.Now() < begin + settings_.grace_ - kShutdownReserve) {
     co_await transport::Sleep(timer, kDrainPollInterval);
   }
@@ -316,6 +322,15 @@
   loop_.stop();
 }
 
+// A call is active once its request has been read whole.
+bool
+Gateway::HasUnfinishedCalls() const
+{
+  return activeCalls_ > 0 ||
+         std::ranges::any_of(
+           callerLinks_, [](const LinkPtr& aLink) { return aLink->Busy(); });
+}
+
 void
 Gateway::Reload(const GatewaySettings& aSettings)
 {
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -90,6 +90,8 @@
                                          transport::ReadResult aResult);
   transport::Task<void> Housekeeping();
   transport::Task<void> StopAfterGrace();
+  /// Whether a request is being read, or its answer is not written yet.
+  bool HasUnfinishedCalls() const;
   transport::LinkLimits Limits() const;
 
   wire::SyncRequest BuildSyncRequest();
@@ -162,6 +164,8 @@
 
   std::set<LinkPtr> callerLinks_;
   std::uint32_t activeCalls_ = 0;
+  /// Answers of servers that calls hold in memory, in bytes.
+  std::size_t heldAnswerBytes_ = 0;
   bool draining_ = false;
   /// While draining: time at which requests still waiting for a server slot are
   /// refused.
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -21,11 +21,84 @@
 /// Time limit for reading the rest of an answer that says that the request was
 /// not run.
 constexpr std::chrono::milliseconds kNotRunReadTimeout{ 400 };
-/// Time without data after which a stream is resumed at another server.
+/// Time without a whole event after which a stream is resumed at another
+/// server.
 constexpr std::chrono::milliseconds kStreamIdleTimeout{ 1200 };
+/// Maximum number of answers to earlier requests that are skipped before the
+/// answer to this one.
+constexpr int kMaxStrayAnswers = 3;
+/// Largest event of a stream.
+constexpr std::size_t kMaxEventBytes = 64UL * 1024;
+/// Largest answer that is not a stream, and the most that all calls of the
+/// process hold in memory together.
+constexpr std::size_t kMaxAnswerBytes = 4UL * 1024 * 1024;
+constexpr std::size_t kMaxHeldAnswerBytes = 32UL * 1024 * 1024;
 
 } // namespace
 
+Task<bool>
+GatewayCall::ReadOwnHead(ServerLink& aServer,
+                         AnswerHead& aHead,
+                         core::Duration aLimit)
+{
+  const core::MonotonicTime until = gateway_.clock_.Now() + aLimit;
+  for (int skipped = 0; skipped <= kMaxStrayAnswers; ++skipped) {
+    const core::Duration left = until - gateway_.clock_.Now();
+    if (left <= core::Duration(0) || !co_await aServer.ReadHead(aHead, left)) {
+      co_return false;
+    }
+    const auto echoed = aHead.fields_[gateway_.settings_.headers_.requestId_];
+    // Without an id it is the answer to this request only if there was no
+    // other request on this connection.
+    if (echoed == id_ || (echoed.empty() && !connectionUsedBefore_)) {
+      co_return true;
+    }
+    core::Log(core::LogLevel::Info,
+              "answer to another request skipped",
+              { { "request", id_ },
+                { "answer", std::string(echoed) },
+                { "server", choice_.server_.Value() } });
+    if (!co_await aServer.SkipRest(left)) {
+      co_return false;
+    }
+  }
+  co_return false;
+}
+
+void
+GatewayCall::ReleaseAnswerMemory()
+{
+  gateway_.heldAnswerBytes_ -= std::exchange(heldAnswerBytes_, 0);
+}
+
+Task<bool>
+GatewayCall::ReadWholeBody(ServerLink& aServer, std::string& aBody)
+{
+  ReleaseAnswerMemory();
+  while (true) {
+    const auto part = co_await aServer.ReadBody(
+      std::max<core::Duration>(TimeLeft(), std::chrono::milliseconds(1)));
+    if (!part) {
+      co_return false;
+    }
+    if (part->empty()) {
+      co_return true;
+    }
+    aBody += *part;
+    heldAnswerBytes_ += part->size();
+    gateway_.heldAnswerBytes_ += part->size();
+    if (TimeLeft() <= core::Duration(0) || aBody.size() > kMaxAnswerBytes ||
+        gateway_.heldAnswerBytes_ > kMaxHeldAnswerBytes) {
+      core::Log(core::LogLevel::Warning,
+                "answer is too long",
+                { { "request", id_ },
+                  { "server", choice_.server_.Value() },
+                  { "bytes", std::to_string(aBody.size()) } });
+      co_return false;
+    }
+  }
+}
+
 Task<GatewayCall::AttemptResult>
 GatewayCall::OnAnswer(ServerLink& aServer, AnswerHead& aHead)
 {
@@ -34,8 +107,7 @@
   const bool notRun =
     aHead.status_ == 421 || !aHead.fields_[names.notRun_].empty();
   if (notRun) {
-    std::string discarded;
-    co_await aServer.ReadRest(discarded, kNotRunReadTimeout);
+    co_await aServer.SkipRest(kNotRunReadTimeout);
     if (aHead.status_ == 421 && !requirements_.model_.Empty()) {
       gateway_.view_.OnModelMissing(choice_.server_, requirements_.model_);
     } else {
@@ -69,10 +141,8 @@
 GatewayCall::RelayWholeAnswer(ServerLink& aServer, AnswerHead& aHead)
 {
   std::string body;
-  const bool complete =
-    request_.method() == http::verb::head ||
-    co_await aServer.ReadRest(
-      body, std::max<core::Duration>(TimeLeft(), std::chrono::milliseconds(1)));
+  const bool complete = request_.method() == http::verb::head ||
+                        co_await ReadWholeBody(aServer, body);
   if (callerGone_) {
     Finish(SendOutcome::Neutral);
     co_return AttemptResult::Done;
@@ -140,10 +210,17 @@
   }
   const bool mayResume = route_->Repeatable() && runs_ < route_->maxAttempts_;
   bool complete = false;
+  // Bytes that complete no event are no progress.
+  core::MonotonicTime progressAt = gateway_.clock_.Now();
   while (!callerGone_) {
+    const core::Duration idle = gateway_.clock_.Now() - progressAt;
+    if (mayResume && idle >= kStreamIdleTimeout) {
+      break;
+    }
     const core::Duration limit =
-      mayResume ? std::min<core::Duration>(TimeLeft(), kStreamIdleTimeout)
-                : TimeLeft();
+      mayResume
+        ? std::min<core::Duration>(TimeLeft(), kStreamIdleTimeout - idle)
+        : TimeLeft();
     const auto part = co_await aServer.ReadBody(
       std::max<core::Duration>(limit, std::chrono::milliseconds(1)));
     if (!part || callerGone_) {
@@ -151,6 +228,10 @@
     }
     events.Add(*part);
     const std::string wholeEvents = events.TakeWhole();
+    if (TimeLeft() <= core::Duration(0) ||
+        events.Pending().size() > kMaxEventBytes) {
+      break;
+    }
     if (events.LastId()) {
       lastEvent_ = events.LastId();
     }
@@ -171,6 +252,7 @@
         gateway_.AssignSlots();
       }
       RecordEventTimes();
+      progressAt = gateway_.clock_.Now();
       std::array<char, 20> size{};
       std::snprintf(size.data(), size.size(), "%zx\r\n", wholeEvents.size());
       std::string chunk = size.data();
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -33,9 +33,6 @@
 constexpr std::uint32_t kMaxUnsentAttempts = 5;
 /// Base of the exponential backoff between attempts.
 constexpr std::chrono::milliseconds kRetryBackoff{ 10 };
-/// Maximum number of answers to earlier requests that are skipped before the
-/// answer to this one.
-constexpr int kMaxStrayAnswers = 3;
 /// How long a request waits for the first routing table, and the interval at
 /// which it polls for one.
 constexpr std::chrono::milliseconds kRoutesTimeout{ 1500 };
@@ -112,6 +109,7 @@
 
 GatewayCall::~GatewayCall()
 {
+  ReleaseAnswerMemory();
   if (queueId_) {
     gateway_.queue_.Remove(*queueId_);
     gateway_.waiting_.erase(*queueId_);
@@ -515,8 +513,10 @@
 {
   // Only a repeatable request is sent on a pooled connection: the server may
   // have closed it, and then it is unknown whether the request arrived.
+  connectionUsedBefore_ = false;
   if (route_->Repeatable()) {
     if (auto pooled = gateway_.pool_.Take(choice_.server_)) {
+      connectionUsedBefore_ = true;
       co_return pooled;
     }
   }
@@ -578,21 +578,9 @@
 {
   const HttpRequest out = MakeServerRequest();
   const core::Duration limit = AnswerTimeout();
-  const protocol::CallHeaders& names = gateway_.settings_.headers_;
   AnswerHead head;
-  bool received =
-    co_await aServer.Send(out, limit) && co_await aServer.ReadHead(head, limit);
-  // An answer to an earlier request may still arrive; the request id tells them
-  // apart.
-  for (int stray = 0; received && stray < kMaxStrayAnswers; ++stray) {
-    const auto echoed = head.fields_[names.requestId_];
-    if (echoed.empty() || echoed == id_) {
-      break;
-    }
-    std::string discarded;
-    received = co_await aServer.ReadRest(discarded, limit) &&
-               co_await aServer.ReadHead(head, limit);
-  }
+  const bool received = co_await aServer.Send(out, limit) &&
+                        co_await ReadOwnHead(aServer, head, limit);
   if (received && !callerGone_) {
     co_return co_await OnAnswer(aServer, head);
   }
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -63,6 +63,15 @@
   transport::Task<AttemptResult> RelayWholeAnswer(
     transport::ServerLink& aServer,
     transport::AnswerHead& aHead);
+  /// Reads the head of the answer to this request; skips those to others.
+  transport::Task<bool> ReadOwnHead(transport::ServerLink& aServer,
+                                    transport::AnswerHead& aHead,
+                                    core::Duration aLimit);
+  /// Reads a whole body, within the limits of one answer and of all that the
+  /// process holds.
+  transport::Task<bool> ReadWholeBody(transport::ServerLink& aServer,
+                                      std::string& aBody);
+  void ReleaseAnswerMemory();
   transport::Task<AttemptResult> RelayStream(
     transport::ServerLink& aServer,
     const transport::AnswerHead& aHead);
@@ -98,6 +107,10 @@
 
   transport::asio::steady_timer timer_;
   transport::ServerLink* activeLink_ = nullptr;
+  /// The current attempt's connection has carried other requests before.
+  bool connectionUsedBefore_ = false;
+  /// This call's part of Gateway::heldAnswerBytes_.
+  std::size_t heldAnswerBytes_ = 0;
   std::optional<coordination::DispatchQueue::Id> queueId_;
   coordination::BackendChoice choice_;
   /// A server slot is assigned to the current attempt.
--- /dev/null
+++ b/tests/ServerTroubleTest.cpp
@@ -0,0 +1,373 @@
+#define BOOST_TEST_MODULE ServerTrouble
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "support/GatewayFixture.hpp"
+
+#include <ostream>
+
+using namespace crocusslip;
+using namespace crocusslip::tests;
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/// Longest time in which the gateway must notice that a server sends no answer.
+constexpr std::chrono::seconds kNoticed{ 4 };
+/// More than any answer's limit, less than the machine's memory.
+constexpr std::size_t kEndlessBytes = 64UL * 1024 * 1024;
+
+constexpr std::size_t kAnswerBytes = 1024;
+
+const std::string kSignedHead = "HTTP/1.1 200 OK\r\nId: abc\r\nStamp: s1\r\n";
+
+/// Bytes that are no answer: a beginning, then the same bytes again and again.
+struct EndlessBytes
+{
+  const char* name_;
+  std::string begin_;
+  std::string again_;
+  std::string target_ = "/once/a";
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const EndlessBytes& aBytes)
+{
+  return aOut << aBytes.name_;
+}
+
+std::string
+Repeat(const std::string& aText, std::size_t aBytes)
+{
+  std::string text;
+  while (text.size() < aBytes) {
+    text += aText;
+  }
+  return text;
+}
+
+std::vector<EndlessBytes>
+EndlessAnswers()
+{
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nId: abc\r\nNot-Run: 1\r\n";
+  return {
+    { "status line", "HTTP/1.1 200 ", "O" },
+    { "header value", kSignedHead + "X: ", "y" },
+    { "header lines", kSignedHead, "X: y\r\n" },
+    { "interim answers", "", "HTTP/1.1 103 Early\r\n\r\n" },
+    { "chunk size", kSignedHead + chunked, "0" },
+    { "chunk extension", kSignedHead + chunked + "5;x=", "y" },
+    { "trailers", kSignedHead + chunked + "0\r\n", "X: y\r\n" },
+    { "chunks", kSignedHead + chunked, Chunk("no end") },
+    { "body until close", kSignedHead + "\r\n", "no end" },
+    { "refusal", refusal + chunked, Chunk("no end") },
+    { "event", kSignedHead + chunked, Chunk("data: no end"), "/stream/a" },
+  };
+}
+
+/// Sends the bytes until the connection is closed; returns how many it took.
+Task<std::size_t>
+SendEndlessly(transport::CallerLink& aLink, const EndlessBytes& aBytes)
+{
+  constexpr std::size_t kPart = 16UL * 1024;
+  const std::string part = Repeat(aBytes.again_, kPart);
+  std::size_t sent = 0;
+  bool open = co_await aLink.WriteRaw(aBytes.begin_);
+  while (open && sent < kEndlessBytes) {
+    open = co_await aLink.WriteRaw(part);
+    sent += part.size();
+  }
+  co_return sent;
+}
+
+struct Fixture : GatewayFixture
+{
+  /// Answers with an id of aIds after the next, whatever the request's id is.
+  RequestHandler AnswerWithIds(const std::vector<std::string>& aHeads)
+  {
+    return [aHeads](transport::CallerLink& aLink,
+                    const HttpRequest& aRequest) -> Task<void> {
+      for (const std::string& head : aHeads) {
+        co_await Respond(head, "not yours")(aLink, aRequest);
+      }
+      co_await Respond(kSignedSuccess, "yours")(aLink, aRequest);
+    };
+  }
+};
+
+/// Answers that break off, each in another framing.
+struct BrokenAnswer
+{
+  const char* name_;
+  std::string bytes_;
+  /// Whether the connection is reset instead of closed.
+  bool reset_ = false;
+  std::string target_ = "/once/a";
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const BrokenAnswer& aAnswer)
+{
+  return aOut << aAnswer.name_;
+}
+
+std::vector<BrokenAnswer>
+BrokenAnswers()
+{
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+    { "length", kSignedHead + "Content-Length: 9\r\n\r\nhalf" },
+    { "between chunks", kSignedHead + chunked + Chunk("half") },
+    { "within a chunk", kSignedHead + chunked + "9\r\nhalf" },
+    { "bad chunk size", kSignedHead + chunked + Chunk("half") + "zz\r\n" },
+    { "reset before the close", kSignedHead + "\r\nhalf", true },
+    { "stream by length",
+      kSignedHead + "Content-Length: 99\r\n\r\nid: 1\ndata: a\n\n",
+      false,
+      "/model/a" },
+    { "stream within an event",
+      kSignedHead + "\r\nid: 1\ndata: a\n\nid: 2\nda",
+      false,
+      "/model/a" },
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AServerThatSendsWithoutEnd)
+
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       IsCutOffAndItsCallerIsAnswered,
+                       data::make(EndlessAnswers()),
+                       endless)
+{
+  bool ended = false;
+  std::size_t sent = 0;
+  StartServer(
+    "s1", [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      sent = co_await SendEndlessly(aLink, endless);
+      ended = true;
+    });
+  const auto begin = std::chrono::steady_clock::now();
+  const auto answer = Call(endless.target_);
+  BOOST_TEST((std::chrono::steady_clock::now() - begin < kNoticed));
+  BOOST_TEST(answer.status_ >= 500U);
+  RunUntil(ended);
+  BOOST_TEST(sent < kEndlessBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(DoesNotReachTheNextCallerWithBytesAfterAnAnswer,
+                        Fixture)
+{
+  StartServer("s1",
+              [](transport::CallerLink& aLink,
+                 const HttpRequest& aRequest) -> Task<void> {
+                co_await Respond(kSignedSuccess, "hello")(aLink, aRequest);
+                co_await aLink.WriteRaw(Repeat("more", 100'000));
+              });
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Call("/safe/a").body_ == "hello");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ACopyOfAnEarlierAnswer)
+
+BOOST_FIXTURE_TEST_CASE(IsSkipped, Fixture)
+{
+  StartServer("s1", AnswerWithIds({ "200 OK\r\nId: old\r\nStamp: s0" }));
+  BOOST_TEST(Call("/safe/a").body_ == "yours");
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNeverDeliveredHoweverManyCome, Fixture)
+{
+  const std::vector<std::string> copies(9, "200 OK\r\nId: old\r\nStamp: s0");
+  StartServer("s1", AnswerWithIds(copies));
+  BOOST_TEST(Call("/safe/a").body_ != "not yours");
+}
+
+// On a connection that was used before, an answer without an id may be to the
+// request before.
+BOOST_FIXTURE_TEST_CASE(IsNotDeliveredWithoutAnIdOnAUsedConnection, Fixture)
+{
+  StartServer("s1",
+              [&](transport::CallerLink& aLink,
+                  const HttpRequest& aRequest) -> Task<void> {
+                if (arrivals_ == 2) {
+                  co_await Respond("200 OK\r\nStamp: s0",
+                                   "not yours")(aLink, aRequest);
+                }
+                co_await Respond(kSignedSuccess, "yours")(aLink, aRequest);
+              });
+  BOOST_TEST(Call("/safe/a").body_ == "yours");
+  BOOST_TEST(Call("/safe/a").body_ == "yours");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnAnswerThatBreaksOff)
+
+BOOST_DATA_TEST_CASE_F(Fixture,
+                       IsNeverACompleteSuccess,
+                       data::make(BrokenAnswers()),
+                       broken)
+{
+  StartServer(
+    "s1", [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      transport::asio::steady_timer timer(loop_);
+      co_await aLink.WriteRaw(broken.bytes_);
+      if (broken.reset_) {
+        co_await transport::Sleep(timer, 50ms);
+        aLink.Abort();
+      } else {
+        co_await aLink.Finish();
+      }
+    });
+  BOOST_TEST(Call(broken.target_).status_ != 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsFollowedByTheAnswerProperAfterInterimOnes, Fixture)
+{
+  StartServer("s1",
+              [](transport::CallerLink& aLink,
+                 const HttpRequest& aRequest) -> Task<void> {
+                co_await aLink.WriteRaw("HTTP/1.1 103 Early Hints\r\n\r\n");
+                co_await Respond(kSignedSuccess, "hello")(aLink, aRequest);
+              });
+  BOOST_TEST(Call("/once/a").body_ == "hello");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AStreamOfAServer)
+
+// Bytes that complete no event are no progress.
+BOOST_FIXTURE_TEST_CASE(IsResumedWhenBytesCompleteNoEvent, Fixture)
+{
+  StartServer(
+    "s1", [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      const std::string head =
+        kSignedHead + "Transfer-Encoding: chunked\r\n\r\n";
+      if (arrivals_ > 1) {
+        co_await aLink.WriteRaw(head + Chunk("id: 2\ndata: b\n\n") +
+                                "0\r\n\r\n");
+        co_return;
+      }
+      transport::asio::steady_timer timer(loop_);
+      bool open = co_await aLink.WriteRaw(head + Chunk("id: 1\ndata: a\n\n"));
+      while (open) {
+        co_await transport::Sleep(timer, 100ms);
+        open = co_await aLink.WriteRaw(Chunk(":"));
+      }
+    });
+  BOOST_TEST(Call("/stream/a").body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNotCutWhileSlowEventsArrive, Fixture)
+{
+  StartServer(
+    "s1", [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      transport::asio::steady_timer timer(loop_);
+      co_await aLink.WriteRaw(kSignedHead +
+                              "Transfer-Encoding: chunked\r\n\r\n");
+      for (const char* event : { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" }) {
+        co_await transport::Sleep(timer, 900ms);
+        co_await aLink.WriteRaw(Chunk(event));
+      }
+      co_await aLink.WriteRaw("0\r\n\r\n");
+    });
+  BOOST_TEST(Call("/stream/a").body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(arrivals_ == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnUnexpectedError)
+
+BOOST_FIXTURE_TEST_CASE(EndsOnlyWhatItHappenedIn, Fixture)
+{
+  transport::Spawn(loop_, []() -> Task<void> {
+    throw std::runtime_error("unexpected");
+    co_return;
+  });
+  StartServer("s1", Respond(kSignedSuccess, "hello"));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(APlannedStop)
+
+// The request crosses the moment at which idle connections are closed.
+BOOST_FIXTURE_TEST_CASE(AnswersARequestThatHasArrivedUnread, Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess, "hello"));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  bool read = false;
+  std::shared_ptr<transport::CallerLink> link;
+  const std::uint16_t port = tests::FreePort();
+  transport::LinkListener listener(
+    loop_,
+    "127.0.0.1:" + std::to_string(port),
+    [&](transport::Tcp::socket aSocket) {
+      link = std::make_shared<transport::CallerLink>(std::move(aSocket),
+                                                     transport::LinkLimits{});
+    });
+  BOOST_REQUIRE(listener.Start().Ok());
+  transport::ServerLink caller(loop_);
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect("127.0.0.1:" + std::to_string(port), 1s);
+    co_await caller.Send(Request("/safe/a"), 1s);
+    read = true;
+  });
+  RunUntil(read);
+  loop_.run_for(50ms);
+  BOOST_REQUIRE(link);
+  link->EndIdle();
+  bool done = false;
+  transport::ReadResult result = transport::ReadResult::Closed;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    HttpRequest request;
+    result = co_await link->Read(request, transport::LinkLimits{});
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST((result == transport::ReadResult::Complete));
+}
+
+// Its body is still arriving when the process would otherwise stop.
+BOOST_FIXTURE_TEST_CASE(AnswersARequestThatIsBeingRead, Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess, "hello"));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  bool done = false;
+  std::string received;
+  gateway_->Drain();
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    transport::asio::steady_timer timer(loop_);
+    co_await transport::Sleep(timer, 2800ms);
+    transport::Tcp::socket socket(loop_);
+    boost::system::error_code error;
+    co_await socket.async_connect(*transport::ParseEndpoint(callerAddress_),
+                                  transport::Catch(error));
+    const std::string head = "POST /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+                             "Id: abc\r\nContent-Length: 8\r\n\r\nthe ";
+    co_await socket.async_write_some(transport::asio::buffer(head),
+                                     transport::Catch(error));
+    co_await transport::Sleep(timer, 600ms);
+    co_await socket.async_write_some(transport::asio::buffer("body", 4),
+                                     transport::Catch(error));
+    received.resize(kAnswerBytes);
+    received.resize(co_await socket.async_read_some(
+      transport::asio::buffer(received), transport::Catch(error)));
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/GatewayFixture.hpp
@@ -0,0 +1,268 @@
+#pragma once
+
+#include "Fleet.h"
+#include "entry/Gateway.hpp"
+#include "tests/support/LocalSystem.hpp"
+#include "transport/HttpLink.hpp"
+#include "transport/RpcServer.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// A gateway between a caller and fake servers, for tests of what callers get.
+namespace crocusslip::tests {
+
+using namespace std::chrono_literals;
+using transport::HttpRequest;
+using transport::Task;
+namespace http = transport::http;
+
+constexpr std::chrono::seconds kTestTimeout{ 10 };
+
+/// Fake leader of the control group.
+class FakeFleet final : public wire::FleetIf
+{
+public:
+  void sync(wire::SyncReply& aReply, const wire::SyncRequest& aRequest) override
+  {
+    std::this_thread::sleep_for(10ms);
+    const std::lock_guard lock(mutex_);
+    crashes_.insert(
+      crashes_.end(), aRequest.crashes.begin(), aRequest.crashes.end());
+    aReply = reply_;
+    aReply.leader = isLeader_;
+    aReply.epoch = 1;
+    aReply.complete = aRequest.epoch != 1;
+    aReply.hosts = 1;
+    aReply.routesVersion = 1;
+    aReply.routes = aRequest.routesVersion < 1 ? "routes" : "";
+  }
+  void join(wire::JoinAnswer&, const wire::JoinRequest&) override {}
+
+  void AddServer(const std::string& aId,
+                 std::uint16_t aPort,
+                 const std::string& aService = "desk")
+  {
+    const std::lock_guard lock(mutex_);
+    wire::ServerRow row;
+    row.server = aId;
+    row.address = "127.0.0.1:" + std::to_string(aPort);
+    row.serviceName = aService;
+    row.slots = 4;
+    reply_.rows.push_back(row);
+  }
+
+  void SetSuspect(const wire::Fingerprint& aRequest, std::int32_t aServers)
+  {
+    const std::lock_guard lock(mutex_);
+    wire::Suspect suspect;
+    suspect.request = aRequest;
+    suspect.servers = aServers;
+    reply_.suspects = { suspect };
+  }
+
+  std::vector<wire::Crash> Crashes()
+  {
+    const std::lock_guard lock(mutex_);
+    return crashes_;
+  }
+
+  void SetLeader(bool aIsLeader)
+  {
+    const std::lock_guard lock(mutex_);
+    isLeader_ = aIsLeader;
+  }
+
+private:
+  std::mutex mutex_;
+  wire::SyncReply reply_;
+  std::vector<wire::Crash> crashes_;
+  bool isLeader_ = true;
+};
+
+inline coordination::Route
+MakeRoute(const std::string& aPrefix,
+          coordination::RequestKind aKind,
+          const std::string& aService = "desk")
+{
+  coordination::Route route;
+  route.name_ = aPrefix;
+  route.host_ = "h.example";
+  route.prefix_ = aPrefix;
+  route.kind_ = aKind;
+  route.timeout_ = 3s;
+  route.latencyTarget_ = 100ms;
+  route.callerIdleTimeout_ = 2s;
+  route.services_ = { { coordination::ServiceName(aService), 1 } };
+  route.maxAttempts_ = 2;
+  route.resumable_ = true;
+  return route;
+}
+
+inline coordination::EngineLimits
+MakeEngine()
+{
+  coordination::EngineLimits limits;
+  limits.models_[core::ModelName("m1")] = { 34, 1, 6000ms, 1000ms, 700ms };
+  return limits;
+}
+
+using RequestHandler =
+  std::function<Task<void>(transport::CallerLink&, const HttpRequest&)>;
+
+/// A gateway between a caller and fake servers, all on one event loop; the fake
+/// control group has threads of its own.
+struct GatewayFixture
+{
+  transport::asio::io_context loop_{ 1 };
+  const core::SystemClock clock_;
+  std::shared_ptr<FakeFleet> fleet_ = std::make_shared<FakeFleet>();
+  std::unique_ptr<transport::RpcServer> rpc_;
+  std::unique_ptr<entry::Gateway> gateway_;
+  std::vector<std::unique_ptr<transport::LinkListener>> servers_;
+  std::string callerAddress_ = "127.0.0.1:" + std::to_string(tests::FreePort());
+  int arrivals_ = 0;
+
+  GatewayFixture()
+  {
+    transport::RpcServerSettings rpc;
+    rpc.port_ = tests::FreePort();
+    rpc_ = std::make_unique<transport::RpcServer>(
+      rpc, std::make_shared<wire::FleetProcessor>(fleet_));
+    BOOST_REQUIRE(rpc_->Start().Ok());
+    entry::GatewaySettings settings;
+    settings.host_ = core::HostId("e1");
+    settings.callerAddress_ = callerAddress_;
+    settings.readinessAddress_ =
+      "127.0.0.1:" + std::to_string(tests::FreePort());
+    settings.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
+    settings.retries_ = { 0.2, 50, 10s };
+    settings.headers_ = { "Id",      "Deadline",  "Expect-Server", "Not-Run",
+                          "Stamp",   "Model",     "Tokens",        "Urgency",
+                          "Last-Id", { "Secret" } };
+    settings.parseRoutes_ = [](const std::string&) {
+      using coordination::RequestKind;
+      return core::Result<coordination::RouteTable>(coordination::RouteTable(
+        1,
+        { MakeRoute("/safe/", RequestKind::Idempotent),
+          MakeRoute("/once/", RequestKind::AtMostOnce),
+          MakeRoute("/stream/", RequestKind::Stream),
+          MakeRoute("/model/", RequestKind::Stream, "llm") },
+        { { coordination::ServiceName("desk"),
+            { coordination::ServiceName("desk"), 9, std::nullopt } },
+          { coordination::ServiceName("llm"),
+            { coordination::ServiceName("llm"), 9, MakeEngine() } } },
+        {}));
+    };
+    gateway_ = std::make_unique<entry::Gateway>(loop_, settings, clock_);
+    BOOST_REQUIRE(gateway_->Start().Ok());
+  }
+  ~GatewayFixture()
+  {
+    loop_.stop();
+    gateway_.reset();
+    rpc_->Stop();
+  }
+
+  void StartServer(const std::string& aId, const RequestHandler& aHandler)
+  {
+    const std::uint16_t port = tests::FreePort();
+    servers_.push_back(std::make_unique<transport::LinkListener>(
+      loop_,
+      "127.0.0.1:" + std::to_string(port),
+      [this, aHandler](transport::Tcp::socket aSocket) {
+        auto link = std::make_shared<transport::CallerLink>(
+          std::move(aSocket), transport::LinkLimits{});
+        transport::Spawn(loop_, [this, link, aHandler]() -> Task<void> {
+          HttpRequest request;
+          while (co_await link->Read(request, transport::LinkLimits{}) ==
+                 transport::ReadResult::Complete) {
+            ++arrivals_;
+            co_await aHandler(*link, request);
+          }
+        });
+      }));
+    BOOST_REQUIRE(servers_.back()->Start().Ok());
+    fleet_->AddServer(aId, port);
+  }
+
+  static HttpRequest Request(const std::string& aTarget)
+  {
+    HttpRequest request{ http::verb::post, aTarget, 11 };
+    request.set(http::field::host, "h.example");
+    request.set("Id", "abc");
+    request.set("Secret", "mine");
+    request.body() = "the body";
+    request.prepare_payload();
+    return request;
+  }
+
+  /// Runs the loop until aDone is set.
+  void RunUntil(const bool& aDone)
+  {
+    const auto until = std::chrono::steady_clock::now() + kTestTimeout;
+    while (!aDone && std::chrono::steady_clock::now() < until) {
+      loop_.run_for(10ms);
+    }
+    BOOST_REQUIRE(aDone);
+  }
+
+  transport::WholeAnswer Call(const std::string& aTarget)
+  {
+    bool done = false;
+    transport::WholeAnswer received;
+    const auto wait = std::chrono::steady_clock::now() + kTestTimeout;
+    while (!gateway_->Ready() && std::chrono::steady_clock::now() < wait) {
+      loop_.run_for(10ms);
+    }
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      auto answer = co_await transport::CallOnce(
+        loop_, callerAddress_, Request(aTarget), 5s);
+      if (answer.Ok()) {
+        received = std::move(answer.Value());
+      }
+      done = true;
+    });
+    RunUntil(done);
+    return received;
+  }
+
+  static RequestHandler Respond(const std::string& aHead,
+                                const std::string& aBody)
+  {
+    return [=](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      co_await aLink.WriteRaw("HTTP/1.1 " + aHead + "\r\nContent-Length: " +
+                              std::to_string(aBody.size()) + "\r\n\r\n" +
+                              aBody);
+    };
+  }
+  static RequestHandler BreakConnection()
+  {
+    return [](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+      aLink.Abort();
+      co_return;
+    };
+  }
+};
+
+inline const std::string kSignedSuccess = "200 OK\r\nId: abc\r\nStamp: s1";
+
+inline std::string
+Chunk(const std::string& aText)
+{
+  std::string size;
+  constexpr const char* kDigits = "0123456789abcdef";
+  for (std::size_t left = aText.size(); left > 0; left /= 16) {
+    size.insert(size.begin(), kDigits[left % 16]);
+  }
+  return size + "\r\n" + aText + "\r\n";
+}
+
+} // namespace crocusslip::tests
--- a/transport/Coroutine.hpp
+++ b/transport/Coroutine.hpp
@@ -5,13 +5,13 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <exception>
 
 /// Coroutines on one event loop. Everything that runs on a loop runs on its
 /// one thread, so that its objects need no locks.
@@ -40,12 +40,23 @@
   co_return !error;
 }
 
-/// Starts a coroutine that nobody waits for.
+/// Logs an exception that nothing else has handled; null is none.
+void
+LogUnexpected(const std::exception_ptr& aError);
+
+/// Starts a coroutine that nobody waits for. An exception ends only this
+/// coroutine.
 template<typename Function>
 void
 Spawn(asio::io_context& aLoop, Function aFunction)
 {
-  asio::co_spawn(aLoop, std::move(aFunction), asio::detached);
+  asio::co_spawn(aLoop, std::move(aFunction), [](std::exception_ptr aError) {
+    LogUnexpected(aError);
+  });
 }
 
+/// Runs the loop until it is stopped, also after a handler has thrown.
+void
+RunLoop(asio::io_context& aLoop);
+
 } // namespace crocusslip::transport
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -17,8 +17,16 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-/// Largest answer that is not a stream.
-constexpr std::size_t kAnswerBytes = 8UL * 1024 * 1024;
+/// Largest answer to a call of CallOnce, and largest body that SkipRest reads.
+constexpr std::size_t kAnswerBytes = 2UL * 1024 * 1024;
+constexpr std::size_t kSkippedBytes = 64UL * 1024;
+/// Largest head of an answer.
+constexpr std::uint32_t kAnswerHeadBytes = 16 * 1024;
+/// Interim answers before the answer proper.
+constexpr int kMaxInterimAnswers = 8;
+/// Bytes of a message that are read ahead; bounds what the parser needs in one
+/// piece: chunk sizes with their extensions, and trailers.
+constexpr std::size_t kReadAheadBytes = 64UL * 1024;
 /// Pause after a failed accept, e.g. without free descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{ 50 };
 /// Unacknowledged data older than this ends a connection.
@@ -86,6 +94,7 @@
 CallerLink::Read(HttpRequest& aRequest, const LinkLimits& aLimits)
 {
   limits_ = aLimits;
+  buffer_.max_size(kReadAheadBytes + limits_.headerBytes_);
   boost::system::error_code error;
   if (buffer_.size() == 0) {
     stream_.expires_after(first_ ? limits_.headerTime_ : limits_.idleTime_);
@@ -132,6 +141,9 @@
     if (error == http::error::body_limit) {
       co_return ReadResult::BodyTooLarge;
     }
+    if (error == http::error::buffer_overflow) {
+      co_return ReadResult::Malformed;
+    }
     if (error == http::error::partial_message ||
         error == beast::error::timeout) {
       co_return ReadResult::Broken;
@@ -222,7 +234,8 @@
 void
 CallerLink::EndIdle()
 {
-  if (!busy_) {
+  const bool arriving = Peek(stream_.socket()).value_or(0) > 0;
+  if (!busy_ && !arriving) {
     boost::system::error_code ignored;
     stream_.socket().close(ignored);
   }
@@ -230,6 +243,7 @@
 
 ServerLink::ServerLink(asio::io_context& aLoop)
   : stream_(aLoop)
+  , buffer_(kReadAheadBytes)
 {
 }
 
@@ -272,12 +286,21 @@
 ServerLink::ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout)
 {
   boost::system::error_code error;
-  parser_.emplace();
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   stream_.expires_after(
     std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout));
-  co_await http::async_read_header(stream_, buffer_, *parser_, Catch(error));
-  if (!Note(error)) {
+  bool interim = true;
+  for (int i = 0; interim && i <= kMaxInterimAnswers; ++i) {
+    parser_.emplace();
+    parser_->header_limit(kAnswerHeadBytes);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    co_await http::async_read_header(stream_, buffer_, *parser_, Catch(error));
+    if (!Note(error)) {
+      parser_.reset();
+      co_return false;
+    }
+    interim = parser_->get().result_int() / 100 == 1;
+  }
+  if (interim) {
     parser_.reset();
     co_return false;
   }
@@ -349,6 +372,28 @@
   }
 }
 
+Task<bool>
+ServerLink::SkipRest(std::chrono::nanoseconds aTimeout)
+{
+  const auto until = std::chrono::steady_clock::now() + aTimeout;
+  for (std::size_t skipped = 0; skipped <= kSkippedBytes;) {
+    const auto left = until - std::chrono::steady_clock::now();
+    if (left <= std::chrono::nanoseconds(0)) {
+      timedOut_ = true;
+      co_return false;
+    }
+    const auto part = co_await ReadBody(left);
+    if (!part) {
+      co_return false;
+    }
+    if (part->empty()) {
+      co_return true;
+    }
+    skipped += part->size();
+  }
+  co_return false;
+}
+
 bool
 ServerLink::Reusable() const
 {
@@ -426,8 +471,17 @@
 void
 LinkListener::Stop()
 {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    // Closing would reset the connections that wait.
+    Tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      accept_(std::move(socket));
+    }
+  }
+  acceptor_.close(error);
 }
 
 std::uint16_t
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -75,7 +75,7 @@
   void Abort();
   /// Ends the connection after what has been written.
   Task<void> Finish();
-  /// Ends a wait for the next request.
+  /// Ends a wait for the next request, unless one has begun to arrive.
   void EndIdle();
 
 private:
@@ -107,13 +107,15 @@
   /// False when the request may have left in part.
   Task<bool> Send(const HttpRequest& aRequest,
                   std::chrono::nanoseconds aTimeout);
-  /// Reads the head of the next answer.
+  /// Reads the head of the next answer; skips interim answers (1xx).
   Task<bool> ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout);
   /// The next bytes of the body; empty at its end. Nothing on failure.
   Task<std::optional<std::string_view>> ReadBody(
     std::chrono::nanoseconds aTimeout);
   /// Reads the rest of the body. False when it is cut short or too long.
   Task<bool> ReadRest(std::string& aBody, std::chrono::nanoseconds aTimeout);
+  /// Reads the rest of a body that nobody needs. False as ReadRest.
+  Task<bool> SkipRest(std::chrono::nanoseconds aTimeout);
   /// The whole answer was read and the server keeps the connection.
   bool Reusable() const;
   /// Nothing has arrived or been closed since the last answer.
@@ -145,6 +147,7 @@
                const std::string& aAddress,
                std::function<void(Tcp::socket)> aAccept);
   core::Status Start();
+  /// Accepts the connections that wait to be accepted, then no more.
   void Stop();
   std::uint16_t Port() const;
 
