Leave a silent server only when the request can go on elsewhere

Change: a request or stream stays with a silent server until another one can take it at once and the retry budget allows it; after 0.6 of the caller's idle timeout the same server counts too, since its connection may be broken without a sign. ServerLink::AwaitData waits without ending the connection.

The case of bytes that complete no event now has a second server to go to: with one only, the stream stays until the caller's idle timeout is near.

--- a/coordination/SharedRetryBudget.cpp
+++ b/coordination/SharedRetryBudget.cpp
@@ -54,7 +54,17 @@
 bool
 SharedRetryBudget::TryTake(core::MonotonicTime aNow)
 {
-  Slice& current = Current(aNow);
+  if (!HasRetry(aNow)) {
+    return false;
+  }
+  ++Current(aNow).retries_;
+  return true;
+}
+
+bool
+SharedRetryBudget::HasRetry(core::MonotonicTime aNow)
+{
+  Current(aNow);
   std::uint64_t requests = 0;
   std::uint64_t retries = 0;
   for (const Slice& slice : slices_) {
@@ -64,11 +74,7 @@
   const double allowed =
     kUsedShare * (bound_.ratio_ * static_cast<double>(requests) +
                   static_cast<double>(bound_.extra_) / hosts_);
-  if (static_cast<double>(retries + 1) > allowed) {
-    return false;
-  }
-  ++current.retries_;
-  return true;
+  return static_cast<double>(retries + 1) <= allowed;
 }
 
 } // namespace crocusslip::coordination
--- a/coordination/SharedRetryBudget.hpp
+++ b/coordination/SharedRetryBudget.hpp
@@ -30,6 +30,8 @@
   void OnRequest(core::MonotonicTime aNow);
   /// Takes one retry from the budget; false when it is used up.
   bool TryTake(core::MonotonicTime aNow);
+  /// Whether TryTake would take one.
+  bool HasRetry(core::MonotonicTime aNow);
 
 private:
   /// Counts of one part of the sliding window.
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -212,17 +212,18 @@
   bool complete = false;
   // Bytes that complete no event are no progress.
   core::MonotonicTime progressAt = gateway_.clock_.Now();
+  bool silent = false;
   while (!callerGone_) {
     const core::Duration idle = gateway_.clock_.Now() - progressAt;
-    if (mayResume && idle >= kStreamIdleTimeout) {
+    silent = mayResume &&
+             (idle < kStreamIdleTimeout
+                ? !co_await AwaitServer(aServer, kStreamIdleTimeout - idle)
+                : CanGoOnElsewhere(idle));
+    if (silent) {
       break;
     }
-    const core::Duration limit =
-      mayResume
-        ? std::min<core::Duration>(TimeLeft(), kStreamIdleTimeout - idle)
-        : TimeLeft();
     const auto part = co_await aServer.ReadBody(
-      std::max<core::Duration>(limit, std::chrono::milliseconds(1)));
+      std::max<core::Duration>(TimeLeft(), std::chrono::milliseconds(1)));
     if (!part || callerGone_) {
       break;
     }
@@ -277,6 +278,7 @@
     keepAlive_ = co_await link_->WriteRaw("0\r\n\r\n") && keepAlive_;
     co_return AttemptResult::Done;
   }
+  silent = silent || aServer.TimedOut();
   aServer.Abort();
   requirements_.tried_.insert(choice_.server_);
   core::Log(
@@ -284,9 +286,9 @@
     "stream broke off",
     { { "request", id_ },
       { "server", choice_.server_.Value() },
-      { "silent", aServer.TimedOut() ? "yes" : "no" },
+      { "silent", silent ? "yes" : "no" },
       { "last_event", lastEvent_ ? std::to_string(*lastEvent_) : "none" } });
-  if (!aServer.TimedOut()) {
+  if (!silent) {
     gateway_.RecordBrokenConnection(fingerprint_, choice_.server_);
   }
   Finish(SendOutcome::Failed);
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -54,6 +54,13 @@
 constexpr std::chrono::milliseconds kLoadDecisionTime{ 500 };
 /// Number of servers lost during a request at which it is no longer retried.
 constexpr std::uint32_t kServersLostToStopRetries = 2;
+/// Interval at which it is checked whether a request can leave a silent server.
+constexpr std::chrono::milliseconds kSilenceCheckInterval{ 100 };
+/// Share of the caller's idle timeout after which a silent server's connection
+/// is taken for broken.
+constexpr double kLongSilenceShare = 0.6;
+/// Time for the rest of an answer's head, once its first bytes have arrived.
+constexpr std::chrono::milliseconds kHeadTimeout{ 1000 };
 /// Time reserved for returning the answer to the caller.
 constexpr std::chrono::milliseconds kAnswerReturnTime{ 10 };
 
@@ -491,21 +498,56 @@
   return out;
 }
 
+bool
+GatewayCall::IsLastAttempt() const
+{
+  return !route_->Repeatable() || runs_ + 1 >= route_->maxAttempts_;
+}
+
 core::Duration
-GatewayCall::AnswerTimeout() const
+GatewayCall::AnswerPatience() const
 {
-  // deadline_ excludes kAnswerReturnTime; the server may use that time too.
-  const core::Duration left = TimeLeft() + kAnswerReturnTime;
-  const bool last = !route_->Repeatable() || runs_ + 1 >= route_->maxAttempts_;
-  if (last) {
-    return left;
-  }
   core::Duration slow = std::max<core::Duration>(
     route_->latencyTarget_ * kSlowAnswerFactor, kMinSlowAnswerTimeout);
   if (route_->kind_ == RequestKind::Stream) {
     slow = std::max<core::Duration>(slow, route_->callerIdleTimeout_ / 2);
   }
-  return std::min(left, slow);
+  return slow;
+}
+
+Task<bool>
+GatewayCall::AwaitServer(ServerLink& aServer, core::Duration aPatience)
+{
+  const core::MonotonicTime begin = gateway_.clock_.Now();
+  core::Duration wait = aPatience;
+  while (!callerGone_ && TimeLeft() > core::Duration(0)) {
+    if (co_await aServer.AwaitData(std::min(wait, TimeLeft()))) {
+      break;
+    }
+    if (CanGoOnElsewhere(gateway_.clock_.Now() - begin)) {
+      co_return false;
+    }
+    wait = kSilenceCheckInterval;
+  }
+  co_return true;
+}
+
+bool
+GatewayCall::CanGoOnElsewhere(core::Duration aSilence)
+{
+  const core::MonotonicTime now = gateway_.clock_.Now();
+  if (TimeLeft() <= kStreamReserve ||
+      gateway_.crashGuard_.CrashCount(fingerprint_, now) >=
+        kServersLostToStopRetries ||
+      !gateway_.RetryBudgetFor(requirements_.service_).HasRetry(now)) {
+    return false;
+  }
+  coordination::BackendRequirements need = requirements_;
+  if (aSilence < kLongSilenceShare * route_->callerIdleTimeout_) {
+    need.tried_.insert(choice_.server_);
+  }
+  return gateway_.view_.Choose(need, now, gateway_.random_).status_ ==
+         BackendChoiceStatus::Found;
 }
 
 Task<std::unique_ptr<ServerLink>>
@@ -577,10 +619,22 @@
 GatewayCall::Exchange(ServerLink& aServer)
 {
   const HttpRequest out = MakeServerRequest();
-  const core::Duration limit = AnswerTimeout();
+  // deadline_ excludes kAnswerReturnTime; the server may use that time too.
+  const core::Duration left = TimeLeft() + kAnswerReturnTime;
+  const bool last = IsLastAttempt();
+  const core::Duration patience = AnswerPatience();
   AnswerHead head;
-  const bool received = co_await aServer.Send(out, limit) &&
-                        co_await ReadOwnHead(aServer, head, limit);
+  const bool sent =
+    co_await aServer.Send(out, last ? left : std::min(left, patience));
+  const bool silent = sent && !last && !co_await AwaitServer(aServer, patience);
+  const bool received =
+    sent && !silent &&
+    co_await ReadOwnHead(aServer,
+                         head,
+                         last
+                           ? TimeLeft() + kAnswerReturnTime
+                           : std::min<core::Duration>(
+                               TimeLeft() + kAnswerReturnTime, kHeadTimeout));
   if (received && !callerGone_) {
     co_return co_await OnAnswer(aServer, head);
   }
@@ -590,18 +644,19 @@
     Finish(SendOutcome::Neutral);
     co_return AttemptResult::Done;
   }
-  if (!aServer.TimedOut()) {
+  const bool timedOut = silent || aServer.TimedOut();
+  if (!timedOut) {
     gateway_.RecordBrokenConnection(fingerprint_, choice_.server_);
   }
   core::Log(core::LogLevel::Info,
             "no answer from server",
             { { "request", id_ },
               { "server", choice_.server_.Value() },
-              { "timeout", aServer.TimedOut() ? "yes" : "no" },
-              { "limit_ms", std::to_string(core::Milliseconds(limit)) } });
-  Finish(aServer.TimedOut() && TimeLeft() > kPlainReserve
-           ? SendOutcome::Unreachable
-           : SendOutcome::Failed);
+              { "timeout", timedOut ? "yes" : "no" },
+              { "patience_ms", std::to_string(core::Milliseconds(patience)) },
+              { "left_ms", std::to_string(core::Milliseconds(left)) } });
+  Finish(timedOut && TimeLeft() > kPlainReserve ? SendOutcome::Unreachable
+                                                : SendOutcome::Failed);
   co_return AttemptResult::RetryMaybeRun;
 }
 
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -79,7 +79,19 @@
   /// A pooled or a new connection to the chosen server; null on failure.
   transport::Task<std::unique_ptr<transport::ServerLink>> OpenConnection();
   transport::HttpRequest MakeServerRequest() const;
-  core::Duration AnswerTimeout() const;
+  /// Whether the current attempt is the last that the route allows.
+  bool IsLastAttempt() const;
+  /// How long a server may take to begin its answer before the request is
+  /// better off elsewhere.
+  core::Duration AnswerPatience() const;
+  /// Waits for data of the server. False when it was silent for aPatience and
+  /// the request can go on elsewhere.
+  transport::Task<bool> AwaitServer(transport::ServerLink& aServer,
+                                    core::Duration aPatience);
+  /// Whether the request can be sent to another server at once; after a long
+  /// silence of the current one also to the same server, since a connection
+  /// may be broken without a sign.
+  bool CanGoOnElsewhere(core::Duration aSilence);
   core::Duration TimeLeft() const;
   bool MayRetry(AttemptResult aResult);
   void Finish(coordination::SendOutcome aOutcome);
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -282,6 +282,35 @@
   co_return Note(error);
 }
 
+Task<bool>
+ServerLink::AwaitData(std::chrono::nanoseconds aTimeout)
+{
+  if (buffer_.size() > 0) {
+    co_return true;
+  }
+  struct Wait
+  {
+    bool over_ = false;
+    bool expired_ = false;
+  };
+  // The timer's handler may run after the wait is over.
+  const auto wait = std::make_shared<Wait>();
+  asio::steady_timer timer(stream_.get_executor());
+  timer.expires_after(
+    std::chrono::duration_cast<asio::steady_timer::duration>(aTimeout));
+  timer.async_wait([this, wait](const boost::system::error_code& aError) {
+    if (!aError && !wait->over_) {
+      wait->expired_ = true;
+      boost::system::error_code ignored;
+      stream_.socket().cancel(ignored);
+    }
+  });
+  boost::system::error_code error;
+  co_await stream_.socket().async_wait(Tcp::socket::wait_read, Catch(error));
+  wait->over_ = true;
+  co_return !wait->expired_;
+}
+
 Task<bool>
 ServerLink::ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout)
 {
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -107,6 +107,9 @@
   /// False when the request may have left in part.
   Task<bool> Send(const HttpRequest& aRequest,
                   std::chrono::nanoseconds aTimeout);
+  /// Waits until something arrives or the connection ends. False when nothing
+  /// did in this time; the connection is as before then.
+  Task<bool> AwaitData(std::chrono::nanoseconds aTimeout);
   /// Reads the head of the next answer; skips interim answers (1xx).
   Task<bool> ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout);
   /// The next bytes of the body; empty at its end. Nothing on failure.
