--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Durations.hpp"
 #include "core/Log.hpp"
+#include "protocol/Compression.hpp"
 #include "protocol/FingerprintWire.hpp"
 
 #include <boost/asio/post.hpp>
@@ -451,6 +452,41 @@
   }
 }
 
+void
+FleetController::FillRoutes(const wire::SyncRequest& aRequest,
+                            wire::SyncReply& aReply)
+{
+  const auto group = group_.Current();
+  if (!group) {
+    return;
+  }
+  std::string text;
+  group->WithState([&](const state::StateMachine& aState) {
+    const state::RouteDocument& routes = aState.Routes();
+    aReply.routesVersion = static_cast<std::int64_t>(routes.Version());
+    const bool newer = aReply.routesVersion > aRequest.routesVersion;
+    const bool compressed = aRequest.takesCompressed &&
+                            compressedRoutes_.version_ == aReply.routesVersion;
+    if (newer && !compressed) {
+      text = routes.Text();
+    }
+  });
+  if (aReply.routesVersion <= aRequest.routesVersion) {
+    return;
+  }
+  if (!aRequest.takesCompressed) {
+    aReply.routes = std::move(text);
+    return;
+  }
+  if (compressedRoutes_.version_ != aReply.routesVersion) {
+    compressedRoutes_ = { aReply.routesVersion,
+                          text.size(),
+                          protocol::Compress(text) };
+  }
+  aReply.compressedRoutes = compressedRoutes_.bytes_;
+  aReply.routesBytes = static_cast<std::int32_t>(compressedRoutes_.textBytes_);
+}
+
 void
 FleetController::Fill(const wire::SyncRequest& aRequest,
                       wire::SyncReply& aReply,
@@ -470,16 +506,7 @@
   if (listed_) {
     FillRows(core::HostId(aRequest.host), seen, aReply);
   }
-  const auto group = group_.Current();
-  if (group) {
-    group->WithState([&](const state::StateMachine& aState) {
-      aReply.routesVersion =
-        static_cast<std::int64_t>(aState.Routes().Version());
-      if (aReply.routesVersion > aRequest.routesVersion) {
-        aReply.routes = aState.Routes().Text();
-      }
-    });
-  }
+  FillRoutes(aRequest, aReply);
   aReply.members = group_.MemberAddresses();
   aReply.hosts = static_cast<std::int32_t>(table_.HostCount());
   for (const auto& suspect : guard_.Suspected(kToldServersLost, aNow)) {
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -102,6 +102,8 @@
   void FillRows(const core::HostId& aHost,
                 std::uint64_t aSeen,
                 wire::SyncReply& aReply);
+  /// Adds the newest routes, if the host has older ones.
+  void FillRoutes(const wire::SyncRequest& aRequest, wire::SyncReply& aReply);
   /// Holds a host's call until there is something to tell it, for aWait at
   /// most.
   void AwaitChange(const wire::SyncRequest& aRequest,
@@ -138,6 +140,14 @@
   coordination::CrashGuard guard_{ coordination::CrashGuardSettings{} };
   std::map<coordination::ServiceName, coordination::EngineLimits> limits_;
   std::map<core::ServerId, Engine> engines_;
+  /// The routes as they are sent to hosts, compressed once a version.
+  struct CompressedRoutes
+  {
+    std::int64_t version_ = 0;
+    std::size_t textBytes_ = 0;
+    std::string bytes_;
+  };
+  CompressedRoutes compressedRoutes_;
   /// Urgent version of the table with each host's last answer.
   std::map<core::HostId, std::uint64_t> urgentSent_;
 };
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "core/Log.hpp"
 #include "core/Reasons.hpp"
 #include "entry/GatewayCall.hpp"
+#include "protocol/Compression.hpp"
 #include "protocol/FingerprintWire.hpp"
 
 #include <algorithm>
@@ -409,6 +410,7 @@
   request.instance = instance_;
   request.epoch = epoch_;
   request.seen = seenChange_;
+  request.takesCompressed = true;
   request.routesVersion =
     routes_ ? static_cast<std::int64_t>(routes_->Version()) : 0;
   for (const auto& [id, use] : view_.TakeUsage()) {
@@ -497,11 +499,19 @@
 Gateway::ApplyRoutes(const wire::SyncReply& aReply)
 {
   const auto currentVersion = routes_ ? routes_->Version() : 0;
-  if (aReply.routes.empty() ||
+  const bool compressed = !aReply.compressedRoutes.empty();
+  if ((aReply.routes.empty() && !compressed) ||
       static_cast<std::uint64_t>(aReply.routesVersion) <= currentVersion) {
     return;
   }
-  auto routes = settings_.parseRoutes_(aReply.routes);
+  core::Result<std::string> text =
+    compressed ? protocol::Decompress(
+                   aReply.compressedRoutes,
+                   static_cast<std::size_t>(std::max(0, aReply.routesBytes)))
+               : core::Result<std::string>(aReply.routes);
+  auto routes = text.Ok()
+                  ? settings_.parseRoutes_(text.Value())
+                  : core::Result<coordination::RouteTable>(text.Failure());
   if (!routes.Ok()) {
     core::Log(core::LogLevel::Error,
               "cannot parse routing table",
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -1001,6 +1001,10 @@
 void SyncRequest::__set_completed(const std::vector<Fingerprint> & val) {
   this->completed = val;
 }
+
+void SyncRequest::__set_takesCompressed(const bool val) {
+  this->takesCompressed = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1165,6 +1169,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takesCompressed);
+          this->__isset.takesCompressed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1258,6 +1270,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("takesCompressed", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->takesCompressed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1276,6 +1292,7 @@
   swap(a.crashes, b.crashes);
   swap(a.waitMs, b.waitMs);
   swap(a.completed, b.completed);
+  swap(a.takesCompressed, b.takesCompressed);
   swap(a.__isset, b.__isset);
 }
 
@@ -1291,6 +1308,7 @@
   crashes = other46.crashes;
   waitMs = other46.waitMs;
   completed = other46.completed;
+  takesCompressed = other46.takesCompressed;
   __isset = other46.__isset;
 }
 SyncRequest& SyncRequest::operator=(const SyncRequest& other47) {
@@ -1305,6 +1323,7 @@
   crashes = other47.crashes;
   waitMs = other47.waitMs;
   completed = other47.completed;
+  takesCompressed = other47.takesCompressed;
   __isset = other47.__isset;
   return *this;
 }
@@ -1322,6 +1341,7 @@
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "waitMs=" << to_string(waitMs);
   out << ", " << "completed=" << to_string(completed);
+  out << ", " << "takesCompressed=" << to_string(takesCompressed);
   out << ")";
 }
 
@@ -2117,6 +2137,14 @@
 void SyncReply::__set_loads(const std::vector<ServerLoad> & val) {
   this->loads = val;
 }
+
+void SyncReply::__set_compressedRoutes(const std::string& val) {
+  this->compressedRoutes = val;
+}
+
+void SyncReply::__set_routesBytes(const int32_t val) {
+  this->routesBytes = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -2309,6 +2337,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressedRoutes);
+          this->__isset.compressedRoutes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->routesBytes);
+          this->__isset.routesBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2418,6 +2462,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("compressedRoutes", ::apache::thrift::protocol::T_STRING, 15);
+  xfer += oprot->writeBinary(this->compressedRoutes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routesBytes", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->routesBytes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2438,6 +2490,8 @@
   swap(a.coming, b.coming);
   swap(a.suspects, b.suspects);
   swap(a.loads, b.loads);
+  swap(a.compressedRoutes, b.compressedRoutes);
+  swap(a.routesBytes, b.routesBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -2455,6 +2509,8 @@
   coming = other96.coming;
   suspects = other96.suspects;
   loads = other96.loads;
+  compressedRoutes = other96.compressedRoutes;
+  routesBytes = other96.routesBytes;
   __isset = other96.__isset;
 }
 SyncReply& SyncReply::operator=(const SyncReply& other97) {
@@ -2471,6 +2527,8 @@
   coming = other97.coming;
   suspects = other97.suspects;
   loads = other97.loads;
+  compressedRoutes = other97.compressedRoutes;
+  routesBytes = other97.routesBytes;
   __isset = other97.__isset;
   return *this;
 }
@@ -2490,6 +2548,8 @@
   out << ", " << "coming=" << to_string(coming);
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "loads=" << to_string(loads);
+  out << ", " << "compressedRoutes=" << to_string(compressedRoutes);
+  out << ", " << "routesBytes=" << to_string(routesBytes);
   out << ")";
 }
 
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -411,7 +411,7 @@
 std::ostream& operator<<(std::ostream& out, const Suspect& obj);
 
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false) {}
+  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false) {}
   bool host :1;
   bool failureDomain :1;
   bool instance :1;
@@ -423,6 +423,7 @@
   bool crashes :1;
   bool waitMs :1;
   bool completed :1;
+  bool takesCompressed :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -437,7 +438,8 @@
                 epoch(0),
                 seen(0),
                 routesVersion(0),
-                waitMs(0) {
+                waitMs(0),
+                takesCompressed(0) {
   }
 
   virtual ~SyncRequest() noexcept;
@@ -452,6 +454,7 @@
   std::vector<Crash>  crashes;
   int32_t waitMs;
   std::vector<Fingerprint>  completed;
+  bool takesCompressed;
 
   _SyncRequest__isset __isset;
 
@@ -477,6 +480,8 @@
 
   void __set_completed(const std::vector<Fingerprint> & val);
 
+  void __set_takesCompressed(const bool val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(host == rhs.host))
@@ -501,6 +506,8 @@
       return false;
     if (!(completed == rhs.completed))
       return false;
+    if (!(takesCompressed == rhs.takesCompressed))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -794,7 +801,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -808,6 +815,8 @@
   bool coming :1;
   bool suspects :1;
   bool loads :1;
+  bool compressedRoutes :1;
+  bool routesBytes :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -823,7 +832,9 @@
               complete(0),
               routesVersion(0),
               routes(),
-              hosts(0) {
+              hosts(0),
+              compressedRoutes(),
+              routesBytes(0) {
   }
 
   virtual ~SyncReply() noexcept;
@@ -840,6 +851,8 @@
   std::vector<ComingModel>  coming;
   std::vector<Suspect>  suspects;
   std::vector<ServerLoad>  loads;
+  std::string compressedRoutes;
+  int32_t routesBytes;
 
   _SyncReply__isset __isset;
 
@@ -869,6 +882,10 @@
 
   void __set_loads(const std::vector<ServerLoad> & val);
 
+  void __set_compressedRoutes(const std::string& val);
+
+  void __set_routesBytes(const int32_t val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -897,6 +914,10 @@
       return false;
     if (!(loads == rhs.loads))
       return false;
+    if (!(compressedRoutes == rhs.compressedRoutes))
+      return false;
+    if (!(routesBytes == rhs.routesBytes))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -61,6 +61,7 @@
   9: list<Crash> crashes
   10: i32 waitMs         // longest time to hold the answer until a change
   11: list<Fingerprint> completed  // suspects that have run to their end
+  12: bool takesCompressed  // routes may be answered in compressedRoutes
 }
 
 struct ServerRow {
@@ -112,6 +113,8 @@
   12: list<ComingModel> coming
   13: list<Suspect> suspects  // all that two servers or more were lost from
   14: list<ServerLoad> loads  // of servers of which nothing else has changed
+  15: binary compressedRoutes // instead of routes
+  16: i32 routesBytes    // size of the routes in compressedRoutes
 }
 
 struct JoinRequest {
--- a/transport/Coroutine.hpp
+++ b/transport/Coroutine.hpp
@@ -50,9 +50,10 @@
 void
 Spawn(asio::io_context& aLoop, Function aFunction)
 {
-  asio::co_spawn(aLoop, std::move(aFunction), [](std::exception_ptr aError) {
-    LogUnexpected(aError);
-  });
+  asio::co_spawn(
+    aLoop, std::move(aFunction), [](const std::exception_ptr& aError) {
+      LogUnexpected(aError);
+    });
 }
 
 /// Runs the loop until it is stopped, also after a handler has thrown.
