--- a/coordination/ReportTimes.cpp
+++ b/coordination/ReportTimes.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Interval of reports with few hosts. It grows by itself with each
-/// kHostsPerInterval hosts.
+/// Interval of reports with few hosts. With more it is a multiple, one for each
+/// kHostsPerInterval hosts, up to kMaxIntervals.
 constexpr std::chrono::milliseconds kInterval{ 100 };
 constexpr std::uint32_t kHostsPerInterval = 16;
 constexpr std::uint32_t kMaxIntervals = 6;
--- a/entry/FleetLink.hpp
+++ b/entry/FleetLink.hpp
@@ -50,7 +50,7 @@
   /// empty when none is known.
   std::string NextAddress(const std::string& aFailed);
   void WaitUnlessWoken(std::chrono::milliseconds aTime);
-  /// Waits for aMost, or until SyncNow is called, but for aLeast.
+  /// Waits until SyncNow is called, at least for aLeast and at most for aMost.
   void Pause(std::chrono::milliseconds aLeast, std::chrono::milliseconds aMost);
 
   transport::asio::io_context& loop_;
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -85,7 +85,8 @@
 
 struct Fixture : GatewayFixture
 {
-  /// Answers with an id of aIds after the next, whatever the request's id is.
+  /// Answers with these heads, which are not the request's, and then with the
+  /// answer proper.
   RequestHandler AnswerWithIds(const std::vector<std::string>& aHeads)
   {
     return [aHeads](transport::CallerLink& aLink,
