Deliver events that were read, also at the deadline

Cause: with the bound on events a stream's part that was read just after its deadline was dropped before its whole events were passed on. Change: the deadline is checked after they are. Ran: ServerTroubleTest and GatewayTest, no errors.

--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -229,8 +229,7 @@
     }
     events.Add(*part);
     const std::string wholeEvents = events.TakeWhole();
-    if (TimeLeft() <= core::Duration(0) ||
-        events.Pending().size() > kMaxEventBytes) {
+    if (events.Pending().size() > kMaxEventBytes) {
       break;
     }
     if (events.LastId()) {
@@ -263,7 +262,7 @@
         break;
       }
     }
-    if (part->empty()) {
+    if (part->empty() || TimeLeft() <= core::Duration(0)) {
       break;
     }
   }
