Log bytes of callers that a closing connection or a stop leaves unanswered

Cause: the hypotheses of the lost request could not be told apart. A connection closed with bytes of its caller left no line, nor did a stop with unread bytes. Change: CallerLink::Finish counts what it drops, logged as "request dropped with its connection"; "gateway stopped" counts connections with unread bytes.

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -238,7 +238,13 @@
     --activeCalls_;
   }
   aLink->SetBusy(true);
-  co_await aLink->Finish();
+  const std::size_t dropped = co_await aLink->Finish();
+  if (dropped > 0) {
+    core::Log(core::LogLevel::Warning,
+              "request dropped with its connection",
+              { { "bytes", std::to_string(dropped) },
+                { "draining", draining_ ? "yes" : "no" } });
+  }
   callerLinks_.erase(aLink);
 }
 
@@ -318,7 +324,11 @@
   }
   core::Log(core::LogLevel::Info,
             "gateway stopped",
-            { { "cut", std::to_string(activeCalls_) } });
+            { { "cut", std::to_string(activeCalls_) },
+              { "unread",
+                std::to_string(std::ranges::count_if(
+                  callerLinks_,
+                  [](const LinkPtr& aLink) { return aLink->HasUnread(); })) } });
   fleet_.Stop();
   loop_.stop();
 }
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -212,30 +212,39 @@
   socket.close(ignored);
 }
 
-Task<void>
+Task<std::size_t>
 CallerLink::Finish()
 {
   boost::system::error_code error;
   auto& socket = stream_.socket();
   if (!socket.is_open()) {
-    co_return;
+    co_return 0;
   }
+  std::size_t dropped = buffer_.size();
   // Bytes that were not read would turn the close into a reset, which may take
   // the answer with it.
   socket.shutdown(Tcp::socket::shutdown_send, error);
   stream_.expires_after(kLinger);
   while (!error) {
     buffer_.clear();
-    co_await stream_.async_read_some(buffer_.prepare(kReadBytes), Catch(error));
+    dropped += co_await stream_.async_read_some(buffer_.prepare(kReadBytes),
+                                                Catch(error));
   }
   socket.close(error);
+  co_return dropped;
+}
+
+bool
+CallerLink::HasUnread()
+{
+  return stream_.socket().is_open() &&
+         Peek(stream_.socket()).value_or(0) > 0;
 }
 
 void
 CallerLink::EndIdle()
 {
-  const bool arriving = Peek(stream_.socket()).value_or(0) > 0;
-  if (!busy_ && !arriving) {
+  if (!busy_ && !HasUnread()) {
     boost::system::error_code ignored;
     stream_.socket().close(ignored);
   }
