Tell callers of a close before it, or answer what they send next

What callers saw: a whole request on a kept connection got neither an answer nor a refusal while its host was being stopped.

Cause: the head of an answer said whether the connection stays open, and the end of the answer decided anew. A stream that began before SIGTERM promised to keep the connection and was closed at its end; an error of a server that was passed on after retries never named the close. CallerLink::Finish then reads for half a second what still arrives, so that the answer is not lost to a reset, and drops it: a request that crosses the close is read whole and never answered. The same happened at the idle timeout.

Change: one decision at the head (GatewayCall::DecideKeepAlive), and Finish only after a close that the caller knows of. A kept connection stays open during the stop; its next request is answered and told of the close. An idle connection is closed without reading.

Evidence: PlannedStopTest, suite AKeptConnection: both cases failed before (no answer; no Connection: close).

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -220,16 +220,19 @@
     HttpRequest request;
     aLink->SetBusy(false);
     const ReadResult read = co_await aLink->Read(request, Limits());
+    if (read == ReadResult::Closed) {
+      aLink->Close();
+      break;
+    }
     if (read != ReadResult::Complete) {
       co_await RejectUnreadable(*aLink, read);
       break;
     }
     counters_->requests_.Add();
-    const bool wantsKeepAlive = request.keep_alive();
     ++activeCalls_;
     auto call = std::make_shared<GatewayCall>(*this, aLink, std::move(request));
     try {
-      keepAlive = co_await call->Run() && wantsKeepAlive && !draining_;
+      keepAlive = co_await call->Run();
     } catch (...) {
       transport::LogUnexpected(std::current_exception());
       aLink->Abort();
@@ -326,9 +329,10 @@
             "gateway stopped",
             { { "cut", std::to_string(activeCalls_) },
               { "unread",
-                std::to_string(std::ranges::count_if(
-                  callerLinks_,
-                  [](const LinkPtr& aLink) { return aLink->HasUnread(); })) } });
+                std::to_string(
+                  std::ranges::count_if(callerLinks_, [](const LinkPtr& aLink) {
+                    return aLink->HasUnread();
+                  })) } });
   fleet_.Stop();
   loop_.stop();
 }
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -171,7 +171,7 @@
   }
   completed_ = true;
   answer.body() = std::move(body);
-  answer.keep_alive(keepAlive_ && !gateway_.draining_);
+  answer.keep_alive(DecideKeepAlive());
   answer.prepare_payload();
   const bool written = co_await link_->Write(answer);
   keepAlive_ = keepAlive_ && written;
@@ -192,9 +192,8 @@
       text.append(field.value().data(), field.value().size()).append("\r\n");
     }
   }
-  if (gateway_.draining_) {
+  if (!DecideKeepAlive()) {
     text += "Connection: close\r\n";
-    keepAlive_ = false;
   }
   text += "Transfer-Encoding: chunked\r\n\r\n";
   streaming_ = true;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -137,6 +137,13 @@
   co_return keepAlive_ && !callerGone_;
 }
 
+bool
+GatewayCall::DecideKeepAlive()
+{
+  keepAlive_ = keepAlive_ && request_.keep_alive() && !gateway_.draining_;
+  return keepAlive_;
+}
+
 void
 GatewayCall::WatchCaller()
 {
@@ -271,8 +278,10 @@
         answer.base() = http::response_header<>(failedAnswer_->fields_);
         answer.result(failedAnswer_->status_);
         answer.body() = std::move(failedAnswer_->body_);
+        answer.keep_alive(DecideKeepAlive());
         answer.prepare_payload();
-        co_await link_->Write(answer);
+        const bool written = co_await link_->Write(answer);
+        keepAlive_ = keepAlive_ && written;
         LogOutcome("server failed");
       } else if (outcome == AttemptResult::RetryMaybeRun) {
         const bool deadlineOver = TimeLeft() <= std::chrono::milliseconds(20);
@@ -693,7 +702,7 @@
     answer.set(http::field::retry_after, SecondsText(*aRetryAfter));
   }
   answer.body() = std::string(NameOf(aReason)) + "\n";
-  answer.keep_alive(keepAlive_ && !gateway_.draining_);
+  answer.keep_alive(DecideKeepAlive());
   answer.prepare_payload();
   core::Log(core::LogLevel::Info,
             "request refused",
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -24,7 +24,8 @@
   GatewayCall(const GatewayCall&) = delete;
   GatewayCall& operator=(const GatewayCall&) = delete;
 
-  /// Returns whether the caller's connection can be reused.
+  /// Returns whether the caller's connection stays open: it has been told of a
+  /// close otherwise, or is broken.
   transport::Task<bool> Run();
   /// Called by the gateway when a server slot was assigned.
   void OnSlotAssigned(const coordination::BackendChoice& aChoice);
@@ -100,6 +101,9 @@
                                unsigned aStatus,
                                std::optional<core::Duration> aRetryAfter);
   transport::Task<void> RefuseWithoutSlot();
+  /// Decides at the head of an answer whether the caller's connection stays
+  /// open after it, and returns that.
+  bool DecideKeepAlive();
   void WatchCaller();
   void OnCallerGone();
   void LogOutcome(std::string_view aOutcome) const;
--- /dev/null
+++ b/tests/PlannedStopTest.cpp
@@ -0,0 +1,136 @@
+#define BOOST_TEST_MODULE PlannedStop
+#include <boost/test/unit_test.hpp>
+
+#include "support/GatewayFixture.hpp"
+
+#include <string>
+
+using namespace crocusslip;
+using namespace crocusslip::tests;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+/// The gateway closes idle connections this long after the stop begins.
+constexpr std::chrono::milliseconds kIdleCloseTime{ 3000 };
+
+/// A caller that keeps its connection open.
+struct KeptConnection
+{
+  explicit KeptConnection(transport::asio::io_context& aLoop)
+    : socket_(aLoop)
+  {
+  }
+
+  Task<void> Connect(const std::string& aAddress)
+  {
+    co_await socket_.async_connect(*transport::ParseEndpoint(aAddress),
+                                   transport::Catch(error_));
+  }
+  Task<void> SendText(std::string aText)
+  {
+    co_await socket_.async_write_some(transport::asio::buffer(aText),
+                                      transport::Catch(error_));
+  }
+  Task<void> SendHead(const std::string& aTarget)
+  {
+    co_await SendText("POST " + aTarget +
+                      " HTTP/1.1\r\nHost: h.example\r\nId: abc\r\n"
+                      "Content-Length: 8\r\n\r\n");
+  }
+  Task<void> Send(const std::string& aTarget)
+  {
+    co_await SendHead(aTarget);
+    co_await SendText("the body");
+  }
+  /// Reads until the text contains aEnd or the connection ends.
+  Task<std::string> ReadUntil(const std::string& aEnd)
+  {
+    std::string text;
+    boost::system::error_code error;
+    while (!error && text.find(aEnd) == std::string::npos) {
+      std::string part(kReadBytes, '\0');
+      part.resize(co_await socket_.async_read_some(
+        transport::asio::buffer(part), transport::Catch(error)));
+      text += part;
+    }
+    co_return text;
+  }
+
+  transport::Tcp::socket socket_;
+  boost::system::error_code error_;
+};
+
+struct Fixture : GatewayFixture
+{
+  /// Sends one event at once and the end of the stream after aTime.
+  RequestHandler StreamFor(std::chrono::milliseconds aTime)
+  {
+    return [this, aTime](transport::CallerLink& aLink,
+                         const HttpRequest& aRequest) -> Task<void> {
+      if (aRequest.target() != "/stream/a") {
+        co_await Respond(kSignedSuccess, "hello")(aLink, aRequest);
+        co_return;
+      }
+      co_await aLink.WriteRaw("HTTP/1.1 " + kSignedSuccess +
+                              "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                              Chunk("id: 1\ndata: a\n\n"));
+      transport::asio::steady_timer timer(loop_);
+      co_await transport::Sleep(timer, aTime);
+      co_await aLink.WriteRaw(Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    };
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(APlannedStop)
+
+BOOST_AUTO_TEST_SUITE(AKeptConnection)
+
+BOOST_FIXTURE_TEST_CASE(GetsAnAnswerToARequestAfterAStreamThatBeganBefore,
+                        Fixture)
+{
+  StartServer("s1", StreamFor(300ms));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  bool done = false;
+  std::string answer;
+  KeptConnection caller(loop_);
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect(callerAddress_);
+    co_await caller.Send("/stream/a");
+    co_await caller.ReadUntil("data: a");
+    gateway_->Drain();
+    co_await caller.ReadUntil("0\r\n\r\n");
+    co_await caller.Send("/safe/a");
+    answer = co_await caller.ReadUntil("\r\n\r\n");
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsToldOfTheCloseWithAnErrorOfTheServer, Fixture)
+{
+  StartServer("s1",
+              Respond("500 Internal Server Error\r\nId: abc\r\nStamp: s1", ""));
+  BOOST_TEST(Call("/safe/a").status_ == 500U);
+  gateway_->Drain();
+  bool done = false;
+  std::string answer;
+  KeptConnection caller(loop_);
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect(callerAddress_);
+    co_await caller.Send("/safe/a");
+    answer = co_await caller.ReadUntil("\r\n\r\n");
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 500"));
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -133,6 +133,7 @@
   std::unique_ptr<entry::Gateway> gateway_;
   std::vector<std::unique_ptr<transport::LinkListener>> servers_;
   std::string callerAddress_ = "127.0.0.1:" + std::to_string(tests::FreePort());
+  entry::GatewaySettings settings_;
   int arrivals_ = 0;
 
   GatewayFixture()
@@ -142,17 +143,16 @@
     rpc_ = std::make_unique<transport::RpcServer>(
       rpc, std::make_shared<wire::FleetProcessor>(fleet_));
     BOOST_REQUIRE(rpc_->Start().Ok());
-    entry::GatewaySettings settings;
-    settings.host_ = core::HostId("e1");
-    settings.callerAddress_ = callerAddress_;
-    settings.readinessAddress_ =
+    settings_.host_ = core::HostId("e1");
+    settings_.callerAddress_ = callerAddress_;
+    settings_.readinessAddress_ =
       "127.0.0.1:" + std::to_string(tests::FreePort());
-    settings.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
-    settings.retries_ = { 0.2, 50, 10s };
-    settings.headers_ = { "Id",      "Deadline",  "Expect-Server", "Not-Run",
-                          "Stamp",   "Model",     "Tokens",        "Urgency",
-                          "Last-Id", { "Secret" } };
-    settings.parseRoutes_ = [](const std::string&) {
+    settings_.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
+    settings_.retries_ = { 0.2, 50, 10s };
+    settings_.headers_ = { "Id",      "Deadline",  "Expect-Server", "Not-Run",
+                           "Stamp",   "Model",     "Tokens",        "Urgency",
+                           "Last-Id", { "Secret" } };
+    settings_.parseRoutes_ = [](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
         1,
@@ -166,7 +166,7 @@
             { coordination::ServiceName("llm"), 9, MakeEngine() } } },
         {}));
     };
-    gateway_ = std::make_unique<entry::Gateway>(loop_, settings, clock_);
+    gateway_ = std::make_unique<entry::Gateway>(loop_, settings_, clock_);
     BOOST_REQUIRE(gateway_->Start().Ok());
   }
   ~GatewayFixture()
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -212,6 +212,13 @@
   socket.close(ignored);
 }
 
+void
+CallerLink::Close()
+{
+  boost::system::error_code ignored;
+  stream_.socket().close(ignored);
+}
+
 Task<std::size_t>
 CallerLink::Finish()
 {
@@ -237,16 +244,14 @@
 bool
 CallerLink::HasUnread()
 {
-  return stream_.socket().is_open() &&
-         Peek(stream_.socket()).value_or(0) > 0;
+  return stream_.socket().is_open() && Peek(stream_.socket()).value_or(0) > 0;
 }
 
 void
 CallerLink::EndIdle()
 {
   if (!busy_ && !HasUnread()) {
-    boost::system::error_code ignored;
-    stream_.socket().close(ignored);
+    Close();
   }
 }
 
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -73,8 +73,11 @@
   void CancelWait();
   /// Ends the connection so that an unfinished answer does not look complete.
   void Abort();
-  /// Ends the connection after what has been written. Returns the number of
-  /// bytes that the caller has sent since the last request; they are dropped.
+  /// Ends a connection on which nothing is being read or written.
+  void Close();
+  /// Ends the connection, of which close the caller has been told, after what
+  /// has been written. Returns the number of bytes that the caller has sent
+  /// since the last request; they are dropped.
   Task<std::size_t> Finish();
   /// Bytes have arrived that were not read yet.
   bool HasUnread();
