Refuse late requests of a stopping host that its end might cut

Cause: a request that was read more than 3 s after SIGTERM, on a kept connection or with a body that took its time, got a free slot at once, whatever its deadline. The end of the grace period cut it at its server. Change: such a request is forwarded only if its deadline lies before the end of the grace period; otherwise it is refused as not run, with a Retry-After of 0, so that its caller goes to another host. PlannedStopTest, RefusesALateRequestThatItMightCut: failed before (forwarded, answered 200). AnswersARequestThatIsBeingRead in ServerTroubleTest holds: its deadline allows it.

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -301,7 +301,9 @@
   if (std::exchange(draining_, true)) {
     return;
   }
-  drainSlotDeadline_ = clock_.Now() + kAcceptTimeAfterTerm;
+  const core::MonotonicTime now = clock_.Now();
+  drainSlotDeadline_ = now + kAcceptTimeAfterTerm;
+  stopTime_ = now + settings_.grace_ - kShutdownReserve;
   for (const auto& [id, call] : waiting_) {
     call->RecheckDeadline();
   }
@@ -315,14 +317,12 @@
 Gateway::StopAfterGrace()
 {
   transport::asio::steady_timer timer(loop_);
-  const core::MonotonicTime begin = clock_.Now();
   co_await transport::Sleep(timer, kAcceptTimeAfterTerm);
   callerListener_->Stop();
   for (const LinkPtr& link : callerLinks_) {
     link->EndIdle();
   }
-  while (HasUnfinishedCalls() &&
-         clock_.Now() < begin + settings_.grace_ - kShutdownReserve) {
+  while (HasUnfinishedCalls() && clock_.Now() < stopTime_) {
     co_await transport::Sleep(timer, kDrainPollInterval);
   }
   core::Log(core::LogLevel::Info,
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -170,6 +170,8 @@
   /// While draining: time at which requests still waiting for a server slot are
   /// refused.
   core::MonotonicTime drainSlotDeadline_;
+  /// While draining: time at which the process stops, finished or not.
+  core::MonotonicTime stopTime_;
   std::unique_ptr<transport::LinkListener> callerListener_;
   std::unique_ptr<transport::LinkListener> readinessListener_;
   FleetLink fleet_;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -395,6 +395,11 @@
     }
   }
   hasSlot_ = false;
+  if (gateway_.draining_ && sends_ == 0 && now >= gateway_.drainSlotDeadline_ &&
+      deadline_ > gateway_.stopTime_) {
+    // The stop might cut it.
+    co_return false;
+  }
   queueId_ = gateway_.queue_.Add({ requirements_,
                                    route_->priority_,
                                    arrivedAt_,
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -133,4 +133,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_CASE(RefusesALateRequestThatItMightCut, Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess, "hello"));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  const int before = arrivals_;
+  entry::GatewaySettings settings = settings_;
+  settings.grace_ = 6000ms;
+  gateway_->Reload(settings);
+  gateway_->Drain();
+  bool done = false;
+  std::string answer;
+  KeptConnection caller(loop_);
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    transport::asio::steady_timer timer(loop_);
+    co_await transport::Sleep(timer, kIdleCloseTime - 200ms);
+    co_await caller.Connect(callerAddress_);
+    co_await caller.SendHead("/safe/a");
+    co_await transport::Sleep(timer, 400ms);
+    co_await caller.SendText("the body");
+    answer = co_await caller.ReadUntil("\r\n\r\n");
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(answer.find("Retry-After: 0.00") != std::string::npos);
+  BOOST_TEST(arrivals_ == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
