Do not end a stop while a request waits to be read

What callers saw: a request sent as a stopping host closed its idle connections ended with a reset. Cause: EndIdle spares a connection on which bytes have arrived, but Gateway::HasUnfinishedCalls counts a connection only once its first bytes have been read. With nothing else to do the event loop was stopped before it read them. Change: connections with unread bytes count as unfinished. Evidence: PlannedStopTest, ReadsARequestThatArrivesAsIdleConnectionsAreClosed: the gateway stopped and the caller got no answer before.

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -342,8 +342,9 @@
 Gateway::HasUnfinishedCalls() const
 {
   return activeCalls_ > 0 ||
-         std::ranges::any_of(
-           callerLinks_, [](const LinkPtr& aLink) { return aLink->Busy(); });
+         std::ranges::any_of(callerLinks_, [](const LinkPtr& aLink) {
+           return aLink->Busy() || aLink->HasUnread();
+         });
 }
 
 void
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -4,6 +4,7 @@
 #include "support/GatewayFixture.hpp"
 
 #include <string>
+#include <thread>
 
 using namespace crocusslip;
 using namespace crocusslip::tests;
@@ -161,4 +162,34 @@
   BOOST_TEST(arrivals_ == before);
 }
 
+BOOST_FIXTURE_TEST_CASE(ReadsARequestThatArrivesAsIdleConnectionsAreClosed,
+                        Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess, "hello"));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  bool done = false;
+  std::string answer;
+  KeptConnection caller(loop_);
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect(callerAddress_);
+    co_await caller.Send("/safe/a");
+    co_await caller.ReadUntil("hello");
+    gateway_->Drain();
+    // Both timers are due after the pause, this one first: the request is in
+    // the socket's buffer when the gateway's timer runs.
+    transport::asio::steady_timer send(loop_);
+    transport::asio::steady_timer pause(loop_);
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      co_await transport::Sleep(pause, kIdleCloseTime - 20ms);
+      std::this_thread::sleep_for(60ms);
+    });
+    co_await transport::Sleep(send, kIdleCloseTime - 10ms);
+    co_await caller.Send("/safe/a");
+    answer = co_await caller.ReadUntil("\r\n\r\n");
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
