Take a stream that closes before its first event for broken off

Cause: an answer with neither length nor chunks ends with its connection. When a server crashed before the first event of such a stream, the caller got a complete success without an event, and the request counted as proof that it does not crash servers. Change: a stream that ends with its connection before any event has broken off. Evidence: ServerTroubleTest, IsNeverACompleteSuccess, "stream closed before its first event": answered 200 before.

The cases "stream by length" and "stream within an event" of that test asked for a service without servers and were refused, whatever the code did. They have a server now, and each case checks that the request reached it; both pass on the code as it was.

--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -234,7 +234,10 @@
     if (events.LastId()) {
       lastEvent_ = events.LastId();
     }
-    complete = part->empty() && events.Pending().empty();
+    // A close before the first event is more likely a crash than an answer.
+    const bool unbegun = awaitingFirstEvent_ && wholeEvents.empty() &&
+                         aServer.EndsWithConnection();
+    complete = part->empty() && events.Pending().empty() && !unbegun;
     if (!streaming_ && (complete || !wholeEvents.empty()) &&
         !co_await WriteStreamHead(aHead)) {
       callerGone_ = true;
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -107,6 +107,7 @@
   /// Whether the connection is reset instead of closed.
   bool reset_ = false;
   std::string target_ = "/once/a";
+  std::string service_ = "desk";
 };
 
 std::ostream&
@@ -128,11 +129,18 @@
     { "stream by length",
       kSignedHead + "Content-Length: 99\r\n\r\nid: 1\ndata: a\n\n",
       false,
-      "/model/a" },
+      "/model/a",
+      "llm" },
+    { "stream closed before its first event",
+      kSignedHead + "\r\n",
+      false,
+      "/model/a",
+      "llm" },
     { "stream within an event",
       kSignedHead + "\r\nid: 1\ndata: a\n\nid: 2\nda",
       false,
-      "/model/a" },
+      "/model/a",
+      "llm" },
   };
 }
 
@@ -218,7 +226,8 @@
                        broken)
 {
   StartServer(
-    "s1", [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
+    "s1",
+    [&](transport::CallerLink& aLink, const HttpRequest&) -> Task<void> {
       transport::asio::steady_timer timer(loop_);
       co_await aLink.WriteRaw(broken.bytes_);
       if (broken.reset_) {
@@ -227,8 +236,10 @@
       } else {
         co_await aLink.Finish();
       }
-    });
+    },
+    broken.service_);
   BOOST_TEST(Call(broken.target_).status_ != 200U);
+  BOOST_TEST(arrivals_ > 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(IsFollowedByTheAnswerProperAfterInterimOnes, Fixture)
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -176,7 +176,9 @@
     rpc_->Stop();
   }
 
-  void StartServer(const std::string& aId, const RequestHandler& aHandler)
+  void StartServer(const std::string& aId,
+                   const RequestHandler& aHandler,
+                   const std::string& aService = "desk")
   {
     const std::uint16_t port = tests::FreePort();
     servers_.push_back(std::make_unique<transport::LinkListener>(
@@ -195,7 +197,7 @@
         });
       }));
     BOOST_REQUIRE(servers_.back()->Start().Ok());
-    fleet_->AddServer(aId, port);
+    fleet_->AddServer(aId, port, aService);
   }
 
   static HttpRequest Request(const std::string& aTarget)
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -437,6 +437,12 @@
   co_return false;
 }
 
+bool
+ServerLink::EndsWithConnection() const
+{
+  return parser_ && parser_->get().need_eof();
+}
+
 bool
 ServerLink::Reusable() const
 {
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -125,6 +125,8 @@
   Task<bool> ReadRest(std::string& aBody, std::chrono::nanoseconds aTimeout);
   /// Reads the rest of a body that nobody needs. False as ReadRest.
   Task<bool> SkipRest(std::chrono::nanoseconds aTimeout);
+  /// The answer has neither a length nor chunks: it ends with its connection.
+  bool EndsWithConnection() const;
   /// The whole answer was read and the server keeps the connection.
   bool Reusable() const;
   /// Nothing has arrived or been closed since the last answer.
