--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -153,6 +153,7 @@
   table_ = {};
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
+  promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
   limits_.clear();
   engines_.clear();
   urgentSent_.clear();
@@ -385,6 +386,32 @@
   }
 }
 
+void
+FleetController::TakePromptParts(const wire::SyncRequest& aRequest,
+                                 core::MonotonicTime aNow)
+{
+  const auto partsOf = [](const std::vector<std::int64_t>& aParts) {
+    return std::vector<coordination::PromptPart>(aParts.begin(), aParts.end());
+  };
+  for (const wire::Crash& crash : aRequest.crashes) {
+    promptGuard_.OnCrash(
+      { protocol::FromWire(crash.request),
+        core::ServerId(crash.server),
+        partsOf(crash.parts),
+        aNow - std::chrono::milliseconds(std::max(0, crash.ageMs)) });
+  }
+  promptGuard_.OnStarted(
+    partsOf(aRequest.startedParts),
+    static_cast<std::uint32_t>(std::max(0, aRequest.starts)));
+  promptGuard_.Adopt(partsOf(aRequest.heldParts), aNow);
+  for (const coordination::PromptPart part : promptGuard_.Decide(aNow)) {
+    core::Log(core::LogLevel::Warning,
+              "requests held back for a part of their prompts",
+              { { "part", std::to_string(part) },
+                { "held", std::to_string(promptGuard_.Held().size()) } });
+  }
+}
+
 void
 FleetController::Sync(const wire::SyncRequest& aRequest,
                       wire::SyncReply& aReply)
@@ -399,6 +426,7 @@
   const core::Term term = term_;
   TakeReport(aRequest, clock_.Now());
   TakeSuspects(aRequest, clock_.Now());
+  TakePromptParts(aRequest, clock_.Now());
   const bool known = aRequest.epoch == static_cast<std::int64_t>(term.Value());
   const auto wait =
     std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
@@ -515,6 +543,9 @@
     out.servers = static_cast<std::int32_t>(suspect.crashes_);
     aReply.suspects.push_back(std::move(out));
   }
+  for (const coordination::PromptPart part : promptGuard_.Held()) {
+    aReply.heldParts.push_back(static_cast<std::int64_t>(part));
+  }
   for (const auto& [model, ready] : placement_.ExpectedReadyTimes()) {
     wire::ComingModel coming;
     coming.model = model.Value();
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -5,6 +5,7 @@
 #include "coordination/CrashGuard.hpp"
 #include "coordination/FleetTable.hpp"
 #include "coordination/ModelPlacement.hpp"
+#include "coordination/PromptGuard.hpp"
 #include "core/Clock.hpp"
 #include "core/Metrics.hpp"
 
@@ -95,6 +96,8 @@
   void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
   void TakeSuspects(const wire::SyncRequest& aRequest,
                     core::MonotonicTime aNow);
+  void TakePromptParts(const wire::SyncRequest& aRequest,
+                       core::MonotonicTime aNow);
   void Fill(const wire::SyncRequest& aRequest,
             wire::SyncReply& aReply,
             core::MonotonicTime aNow);
@@ -138,6 +141,7 @@
   coordination::ModelPlacement placement_;
   /// Requests after which servers broke the connections of several hosts.
   coordination::CrashGuard guard_{ coordination::CrashGuardSettings{} };
+  coordination::PromptGuard promptGuard_{ coordination::PromptGuardSettings{} };
   std::map<coordination::ServiceName, coordination::EngineLimits> limits_;
   std::map<core::ServerId, Engine> engines_;
   /// The routes as they are sent to hosts, compressed once a version.
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "entry/Gateway.hpp"
 
 #include "coordination/ModelPlacement.hpp"
+#include "core/Durations.hpp"
 #include "core/Log.hpp"
 #include "core/Reasons.hpp"
 #include "entry/GatewayCall.hpp"
@@ -42,6 +43,11 @@
 /// Maximum number of requests remembered as suspects, and of those remembered
 /// as having completed.
 constexpr std::size_t kMaxSuspects = 512;
+/// Crashes with parts of prompts that are reported again to a new leader.
+constexpr std::size_t kMaxPromptCrashes = 64;
+constexpr std::chrono::seconds kPromptCrashLifetime{ 60 };
+/// Parts of prompts in one report.
+constexpr std::size_t kMaxStartedParts = 1024;
 
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
   "no_routes_yet", "no_route",      "no_server",   "no_model",
@@ -59,6 +65,17 @@
   return settings;
 }
 
+std::vector<std::int64_t>
+ToWireParts(const auto& aParts)
+{
+  std::vector<std::int64_t> out;
+  out.reserve(aParts.size());
+  for (const coordination::PromptPart part : aParts) {
+    out.push_back(static_cast<std::int64_t>(part));
+  }
+  return out;
+}
+
 /// Takes the load of a wire::ServerRow or wire::ServerLoad.
 template<typename Figures>
 void
@@ -477,8 +494,21 @@
     use.model = name.Value();
     request.models.push_back(std::move(use));
   }
-  request.crashes = std::exchange(crashReports_, {});
+  for (const coordination::PromptCrash& crash :
+       std::exchange(crashReports_, {})) {
+    wire::Crash& out = request.crashes.emplace_back();
+    out.request = ToWire(crash.request_);
+    out.server = crash.server_.Value();
+    out.parts = ToWireParts(crash.parts_);
+    out.ageMs =
+      static_cast<std::int32_t>(core::Milliseconds(clock_.Now() - crash.at_));
+  }
   request.completed = std::exchange(completedReports_, {});
+  request.startedParts = ToWireParts(std::exchange(startedParts_, {}));
+  request.starts = static_cast<std::int32_t>(std::exchange(starts_, 0));
+  if (reportHeldParts_) {
+    request.heldParts = ToWireParts(heldParts_);
+  }
   return request;
 }
 
@@ -543,21 +573,56 @@
 }
 
 void
-Gateway::RecordBrokenConnection(const core::Digest& aFingerprint,
-                                const core::ServerId& aServer)
+Gateway::RecordBrokenConnection(
+  const core::Digest& aFingerprint,
+  const core::ServerId& aServer,
+  const std::vector<coordination::PromptPart>& aParts)
+{
+  const core::MonotonicTime now = clock_.Now();
+  crashGuard_.OnConnectionLost(aFingerprint, aServer, now);
+  const coordination::PromptCrash crash{ aFingerprint, aServer, aParts, now };
+  crashReports_.push_back(crash);
+  if (!aParts.empty()) {
+    promptCrashes_.push_back(crash);
+    if (promptCrashes_.size() > kMaxPromptCrashes) {
+      promptCrashes_.pop_front();
+    }
+  }
+  fleet_.SyncNow();
+}
+
+void
+Gateway::ReportCrashesAgain()
 {
-  crashGuard_.OnConnectionLost(aFingerprint, aServer, clock_.Now());
-  QueueCrashReport(aFingerprint, aServer);
+  const core::MonotonicTime now = clock_.Now();
+  crashReports_.clear();
+  for (const auto& broken : crashGuard_.SuspectCrashes(now)) {
+    crashReports_.push_back({ broken.fingerprint_, broken.server_, {}, now });
+  }
+  for (const coordination::PromptCrash& crash : promptCrashes_) {
+    if (now - crash.at_ < kPromptCrashLifetime) {
+      crashReports_.push_back(crash);
+    }
+  }
+  reportHeldParts_ = true;
 }
 
 void
-Gateway::QueueCrashReport(const core::Digest& aFingerprint,
-                          const core::ServerId& aServer)
+Gateway::RecordStarted(const std::vector<coordination::PromptPart>& aParts)
+{
+  ++starts_;
+  if (startedParts_.size() < kMaxStartedParts) {
+    startedParts_.insert(aParts.begin(), aParts.end());
+  }
+}
+
+bool
+Gateway::HoldsBack(const std::vector<coordination::PromptPart>& aParts) const
 {
-  wire::Crash crash;
-  crash.request = ToWire(aFingerprint);
-  crash.server = aServer.Value();
-  crashReports_.push_back(std::move(crash));
+  return !heldParts_.empty() &&
+         std::ranges::any_of(aParts, [this](coordination::PromptPart aPart) {
+           return heldParts_.contains(aPart);
+         });
 }
 
 std::optional<core::MonotonicTime>
@@ -581,14 +646,13 @@
 void
 Gateway::ApplySuspects(const wire::SyncReply& aReply)
 {
+  std::set<coordination::PromptPart> held(aReply.heldParts.begin(),
+                                          aReply.heldParts.end());
   if (aReply.epoch != epoch_) {
-    // The epoch identifies the leader. A new leader has no record of the broken
-    // connections that this host reported to the previous one: report them
-    // again, and ignore this reply's suspects, which lack them.
-    crashReports_.clear();
-    for (const auto& broken : crashGuard_.SuspectCrashes(clock_.Now())) {
-      QueueCrashReport(broken.fingerprint_, broken.server_);
-    }
+    // A new leader has no record of what this host reported to the previous
+    // one, so that its own lists are not complete yet.
+    heldParts_.merge(held);
+    ReportCrashesAgain();
     return;
   }
   std::vector<coordination::QuarantineEntry> entries;
@@ -598,6 +662,8 @@
         static_cast<std::uint32_t>(std::max(0, suspect.servers)) });
   }
   crashGuard_.ReplaceQuarantine(entries);
+  reportHeldParts_ = false;
+  heldParts_ = std::move(held);
 }
 
 void
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -3,6 +3,7 @@
 #include "coordination/BackendView.hpp"
 #include "coordination/CrashGuard.hpp"
 #include "coordination/DispatchQueue.hpp"
+#include "coordination/PromptGuard.hpp"
 #include "coordination/RouteTable.hpp"
 #include "coordination/SharedRetryBudget.hpp"
 #include "core/Clock.hpp"
@@ -14,6 +15,7 @@
 #include "transport/HttpLink.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,7 +42,8 @@
   Full,
   /// The deadline passed after an attempt that may have run the request.
   Deadline,
-  /// The request is held because servers were lost while they ran it.
+  /// The request is held because servers were lost while they ran it, or others
+  /// with a part of its prompt.
   Quarantined,
   /// The last attempt did not run the request, and no further one is allowed.
   NotRunElsewhere,
@@ -99,13 +102,20 @@
   void ApplyRoutes(const wire::SyncReply& aReply);
   void ApplyServerRows(const wire::SyncReply& aReply);
   void ApplySuspects(const wire::SyncReply& aReply);
-  /// Records that a server's connection broke while it ran the request.
-  void RecordBrokenConnection(const core::Digest& aFingerprint,
-                              const core::ServerId& aServer);
+  /// Records that a server's connection broke while it ran the request. aParts
+  /// are the shared parts of its prompt if no event had come yet.
+  void RecordBrokenConnection(
+    const core::Digest& aFingerprint,
+    const core::ServerId& aServer,
+    const std::vector<coordination::PromptPart>& aParts);
+  /// Records the first event of a request with a prompt.
+  void RecordStarted(const std::vector<coordination::PromptPart>& aParts);
   /// Records that the request ran to its end.
   void RecordCompleted(const core::Digest& aFingerprint);
-  void QueueCrashReport(const core::Digest& aFingerprint,
-                        const core::ServerId& aServer);
+  /// Reports to a new leader what this host knows of crashes.
+  void ReportCrashesAgain();
+  /// Whether requests with one of these parts are not forwarded.
+  bool HoldsBack(const std::vector<coordination::PromptPart>& aParts) const;
   /// Time at which the model is expected to be loaded at a server; nullopt when
   /// no server is loading it.
   std::optional<core::MonotonicTime> ExpectedReadyTime(
@@ -153,7 +163,16 @@
   std::map<core::ServerId, std::multiset<core::ModelName>> runningModels_;
   /// Tracks requests during which servers broke their connections.
   coordination::CrashGuard crashGuard_;
-  std::vector<wire::Crash> crashReports_;
+  std::vector<coordination::PromptCrash> crashReports_;
+  /// Crashes with parts of prompts, for a new leader; the oldest first.
+  std::deque<coordination::PromptCrash> promptCrashes_;
+  /// Parts of prompts with a first event since the last report, and the number
+  /// of their requests.
+  std::set<coordination::PromptPart> startedParts_;
+  std::uint32_t starts_ = 0;
+  std::set<coordination::PromptPart> heldParts_;
+  /// Reports name heldParts_ until the leader, which is new, has replied.
+  bool reportHeldParts_ = false;
   std::vector<wire::Fingerprint> completedReports_;
 
   /// Epoch of the leader that sent the server rows (it changes with the leader)
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -245,6 +245,7 @@
     }
     if (!wholeEvents.empty()) {
       if (std::exchange(awaitingFirstEvent_, false)) {
+        gateway_.RecordStarted(parts_);
         gateway_.view_.OnPrefillDone(choice_.server_,
                                      requirements_.promptTokens_);
         gateway_.view_.OnPromptTime(choice_.server_,
@@ -290,7 +291,7 @@
       { "silent", silent ? "yes" : "no" },
       { "last_event", lastEvent_ ? std::to_string(*lastEvent_) : "none" } });
   if (!silent) {
-    gateway_.RecordBrokenConnection(fingerprint_, choice_.server_);
+    RecordBrokenConnection();
   }
   Finish(SendOutcome::Failed);
   co_return AttemptResult::RetryMaybeRun;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -193,6 +193,7 @@
     requirements_.tokens_ = TokensOf(tokens);
     requirements_.promptTokens_ = TokensOf(tokens.substr(0, tokens.find(',')));
     requirements_.longestPause_ = route_->longestPause_;
+    parts_ = coordination::SharedPartsOf(header(names.promptParts_));
     const auto parts = coordination::SplitModel(requirements_.model_);
     if (!requirements_.model_.Empty() &&
         !service->engine_->models_.contains(parts.model_)) {
@@ -245,8 +246,8 @@
     co_await Refuse(GatewayRefusal::NoModel, 503, std::nullopt);
     co_return;
   }
-  if (gateway_.crashGuard_.Verdict(fingerprint_, arrivedAt_) ==
-      coordination::CrashVerdict::Hold) {
+  if (HeldBack() || gateway_.crashGuard_.Verdict(fingerprint_, arrivedAt_) ==
+                      coordination::CrashVerdict::Hold) {
     co_await Refuse(GatewayRefusal::Quarantined, 503, std::nullopt);
     co_return;
   }
@@ -349,6 +350,9 @@
 GatewayCall::SlotDeadline() const
 {
   const core::MonotonicTime now = gateway_.clock_.Now();
+  if (HeldBack()) {
+    return std::nullopt;
+  }
   const auto choiceStatus =
     gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
   if (choiceStatus == BackendChoiceStatus::NoServer) {
@@ -400,6 +404,9 @@
     // The stop might cut it.
     co_return false;
   }
+  if (HeldBack()) {
+    co_return false;
+  }
   queueId_ = gateway_.queue_.Add({ requirements_,
                                    route_->priority_,
                                    arrivedAt_,
@@ -428,7 +435,7 @@
     gateway_.waiting_.erase(*queueId_);
     queueId_.reset();
   }
-  if (hasSlot_ && callerGone_) {
+  if (hasSlot_ && (callerGone_ || HeldBack())) {
     gateway_.view_.OnFinish(choice_.server_,
                             requirements_.tokens_,
                             SendOutcome::Neutral,
@@ -476,6 +483,11 @@
     reason = GatewayRefusal::Draining;
     retryAfter = core::Duration(0);
   }
+  if (HeldBack()) {
+    co_await Refuse(
+      GatewayRefusal::Quarantined, runs_ > 0 ? 502 : 503, std::nullopt);
+    co_return;
+  }
   co_await Refuse(reason, runs_ > 0 ? 502 : 503, retryAfter);
 }
 
@@ -660,7 +672,7 @@
   }
   const bool timedOut = silent || aServer.TimedOut();
   if (!timedOut) {
-    gateway_.RecordBrokenConnection(fingerprint_, choice_.server_);
+    RecordBrokenConnection();
   }
   core::Log(core::LogLevel::Info,
             "no answer from server",
@@ -674,6 +686,15 @@
   co_return AttemptResult::RetryMaybeRun;
 }
 
+void
+GatewayCall::RecordBrokenConnection()
+{
+  gateway_.RecordBrokenConnection(
+    fingerprint_,
+    choice_.server_,
+    awaitingFirstEvent_ ? parts_ : std::vector<coordination::PromptPart>());
+}
+
 void
 GatewayCall::Finish(SendOutcome aOutcome)
 {
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -54,6 +54,8 @@
   transport::Task<void> AwaitRoutes();
   transport::Task<void> Forward();
   transport::Task<bool> AwaitSlot();
+  /// Whether the request is held back for a part of its prompt.
+  bool HeldBack() const { return gateway_.HoldsBack(parts_); }
   /// Latest useful time for a server slot; nullopt when waiting longer is
   /// pointless.
   std::optional<core::MonotonicTime> SlotDeadline() const;
@@ -96,6 +98,7 @@
   core::Duration TimeLeft() const;
   bool MayRetry(AttemptResult aResult);
   void Finish(coordination::SendOutcome aOutcome);
+  void RecordBrokenConnection();
   void RecordEventTimes();
   transport::Task<void> Refuse(GatewayRefusal aReason,
                                unsigned aStatus,
@@ -118,6 +121,8 @@
   coordination::BackendRequirements requirements_;
   std::string id_;
   core::Digest fingerprint_;
+  /// Shared parts of the prompt.
+  std::vector<coordination::PromptPart> parts_;
   core::MonotonicTime arrivedAt_;
   core::MonotonicTime deadline_;
 
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -741,6 +741,14 @@
 void Crash::__set_request(const Fingerprint& val) {
   this->request = val;
 }
+
+void Crash::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void Crash::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Crash& obj)
 {
   obj.printTo(out);
@@ -785,6 +793,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->parts.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += iprot->readI64(this->parts[_i22]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -810,6 +846,22 @@
   xfer += this->request.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter23;
+    for (_iter23 = this->parts.begin(); _iter23 != this->parts.end(); ++_iter23)
+    {
+      xfer += oprot->writeI64((*_iter23));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -819,18 +871,24 @@
   using ::std::swap;
   swap(a.server, b.server);
   swap(a.request, b.request);
+  swap(a.parts, b.parts);
+  swap(a.ageMs, b.ageMs);
   swap(a.__isset, b.__isset);
 }
 
-Crash::Crash(const Crash& other18) {
-  server = other18.server;
-  request = other18.request;
-  __isset = other18.__isset;
+Crash::Crash(const Crash& other24) {
+  server = other24.server;
+  request = other24.request;
+  parts = other24.parts;
+  ageMs = other24.ageMs;
+  __isset = other24.__isset;
 }
-Crash& Crash::operator=(const Crash& other19) {
-  server = other19.server;
-  request = other19.request;
-  __isset = other19.__isset;
+Crash& Crash::operator=(const Crash& other25) {
+  server = other25.server;
+  request = other25.request;
+  parts = other25.parts;
+  ageMs = other25.ageMs;
+  __isset = other25.__isset;
   return *this;
 }
 void Crash::printTo(std::ostream& out) const {
@@ -838,6 +896,8 @@
   out << "Crash(";
   out << "server=" << to_string(server);
   out << ", " << "request=" << to_string(request);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
@@ -934,15 +994,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other20) noexcept {
-  request = other20.request;
-  servers = other20.servers;
-  __isset = other20.__isset;
+Suspect::Suspect(const Suspect& other26) noexcept {
+  request = other26.request;
+  servers = other26.servers;
+  __isset = other26.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other21) noexcept {
-  request = other21.request;
-  servers = other21.servers;
-  __isset = other21.__isset;
+Suspect& Suspect::operator=(const Suspect& other27) noexcept {
+  request = other27.request;
+  servers = other27.servers;
+  __isset = other27.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -1005,6 +1065,18 @@
 void SyncRequest::__set_takesCompressed(const bool val) {
   this->takesCompressed = val;
 }
+
+void SyncRequest::__set_startedParts(const std::vector<int64_t> & val) {
+  this->startedParts = val;
+}
+
+void SyncRequest::__set_starts(const int32_t val) {
+  this->starts = val;
+}
+
+void SyncRequest::__set_heldParts(const std::vector<int64_t> & val) {
+  this->heldParts = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1085,14 +1157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->uses.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->uses.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->uses[_i26].read(iprot);
+              xfer += this->uses[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1105,14 +1177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->models.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->models.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->models[_i31].read(iprot);
+              xfer += this->models[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1125,14 +1197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->crashes.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->crashes.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->crashes[_i36].read(iprot);
+              xfer += this->crashes[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1153,14 +1225,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->completed.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->completed.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->completed[_i41].read(iprot);
+              xfer += this->completed[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1177,6 +1249,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->startedParts.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->startedParts.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += iprot->readI64(this->startedParts[_i52]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.startedParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->starts);
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heldParts.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->heldParts.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += iprot->readI64(this->heldParts[_i57]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heldParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1221,10 +1341,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter42;
-    for (_iter42 = this->uses.begin(); _iter42 != this->uses.end(); ++_iter42)
+    std::vector<ServerUse> ::const_iterator _iter58;
+    for (_iter58 = this->uses.begin(); _iter58 != this->uses.end(); ++_iter58)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1233,10 +1353,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUse> ::const_iterator _iter43;
-    for (_iter43 = this->models.begin(); _iter43 != this->models.end(); ++_iter43)
+    std::vector<ModelUse> ::const_iterator _iter59;
+    for (_iter59 = this->models.begin(); _iter59 != this->models.end(); ++_iter59)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1245,10 +1365,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter44;
-    for (_iter44 = this->crashes.begin(); _iter44 != this->crashes.end(); ++_iter44)
+    std::vector<Crash> ::const_iterator _iter60;
+    for (_iter60 = this->crashes.begin(); _iter60 != this->crashes.end(); ++_iter60)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1261,10 +1381,10 @@
   xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completed.size()));
-    std::vector<Fingerprint> ::const_iterator _iter45;
-    for (_iter45 = this->completed.begin(); _iter45 != this->completed.end(); ++_iter45)
+    std::vector<Fingerprint> ::const_iterator _iter61;
+    for (_iter61 = this->completed.begin(); _iter61 != this->completed.end(); ++_iter61)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1274,6 +1394,34 @@
   xfer += oprot->writeBool(this->takesCompressed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("startedParts", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->startedParts.size()));
+    std::vector<int64_t> ::const_iterator _iter62;
+    for (_iter62 = this->startedParts.begin(); _iter62 != this->startedParts.end(); ++_iter62)
+    {
+      xfer += oprot->writeI64((*_iter62));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->starts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
+    std::vector<int64_t> ::const_iterator _iter63;
+    for (_iter63 = this->heldParts.begin(); _iter63 != this->heldParts.end(); ++_iter63)
+    {
+      xfer += oprot->writeI64((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1293,38 +1441,47 @@
   swap(a.waitMs, b.waitMs);
   swap(a.completed, b.completed);
   swap(a.takesCompressed, b.takesCompressed);
+  swap(a.startedParts, b.startedParts);
+  swap(a.starts, b.starts);
+  swap(a.heldParts, b.heldParts);
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other46) {
-  host = other46.host;
-  failureDomain = other46.failureDomain;
-  instance = other46.instance;
-  epoch = other46.epoch;
-  seen = other46.seen;
-  routesVersion = other46.routesVersion;
-  uses = other46.uses;
-  models = other46.models;
-  crashes = other46.crashes;
-  waitMs = other46.waitMs;
-  completed = other46.completed;
-  takesCompressed = other46.takesCompressed;
-  __isset = other46.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other47) {
-  host = other47.host;
-  failureDomain = other47.failureDomain;
-  instance = other47.instance;
-  epoch = other47.epoch;
-  seen = other47.seen;
-  routesVersion = other47.routesVersion;
-  uses = other47.uses;
-  models = other47.models;
-  crashes = other47.crashes;
-  waitMs = other47.waitMs;
-  completed = other47.completed;
-  takesCompressed = other47.takesCompressed;
-  __isset = other47.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other64) {
+  host = other64.host;
+  failureDomain = other64.failureDomain;
+  instance = other64.instance;
+  epoch = other64.epoch;
+  seen = other64.seen;
+  routesVersion = other64.routesVersion;
+  uses = other64.uses;
+  models = other64.models;
+  crashes = other64.crashes;
+  waitMs = other64.waitMs;
+  completed = other64.completed;
+  takesCompressed = other64.takesCompressed;
+  startedParts = other64.startedParts;
+  starts = other64.starts;
+  heldParts = other64.heldParts;
+  __isset = other64.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other65) {
+  host = other65.host;
+  failureDomain = other65.failureDomain;
+  instance = other65.instance;
+  epoch = other65.epoch;
+  seen = other65.seen;
+  routesVersion = other65.routesVersion;
+  uses = other65.uses;
+  models = other65.models;
+  crashes = other65.crashes;
+  waitMs = other65.waitMs;
+  completed = other65.completed;
+  takesCompressed = other65.takesCompressed;
+  startedParts = other65.startedParts;
+  starts = other65.starts;
+  heldParts = other65.heldParts;
+  __isset = other65.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -1342,6 +1499,9 @@
   out << ", " << "waitMs=" << to_string(waitMs);
   out << ", " << "completed=" << to_string(completed);
   out << ", " << "takesCompressed=" << to_string(takesCompressed);
+  out << ", " << "startedParts=" << to_string(startedParts);
+  out << ", " << "starts=" << to_string(starts);
+  out << ", " << "heldParts=" << to_string(heldParts);
   out << ")";
 }
 
@@ -1489,14 +1649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->models.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->models.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += iprot->readString(this->models[_i52]);
+              xfer += iprot->readString(this->models[_i70]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1533,14 +1693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->coming.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->coming.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += iprot->readString(this->coming[_i57]);
+              xfer += iprot->readString(this->coming[_i75]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1625,10 +1785,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter58;
-    for (_iter58 = this->models.begin(); _iter58 != this->models.end(); ++_iter58)
+    std::vector<std::string> ::const_iterator _iter76;
+    for (_iter76 = this->models.begin(); _iter76 != this->models.end(); ++_iter76)
     {
-      xfer += oprot->writeString((*_iter58));
+      xfer += oprot->writeString((*_iter76));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1649,10 +1809,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter59;
-    for (_iter59 = this->coming.begin(); _iter59 != this->coming.end(); ++_iter59)
+    std::vector<std::string> ::const_iterator _iter77;
+    for (_iter77 = this->coming.begin(); _iter77 != this->coming.end(); ++_iter77)
     {
-      xfer += oprot->writeString((*_iter59));
+      xfer += oprot->writeString((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1699,41 +1859,41 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRow::ServerRow(const ServerRow& other60) {
-  server = other60.server;
-  address = other60.address;
-  serviceName = other60.serviceName;
-  failureDomain = other60.failureDomain;
-  state = other60.state;
-  slots = other60.slots;
-  models = other60.models;
-  inFlight = other60.inFlight;
-  tokens = other60.tokens;
-  suspect = other60.suspect;
-  coming = other60.coming;
-  memoryTokens = other60.memoryTokens;
-  speedPercent = other60.speedPercent;
-  tokenNanos = other60.tokenNanos;
-  unreadTokens = other60.unreadTokens;
-  __isset = other60.__isset;
-}
-ServerRow& ServerRow::operator=(const ServerRow& other61) {
-  server = other61.server;
-  address = other61.address;
-  serviceName = other61.serviceName;
-  failureDomain = other61.failureDomain;
-  state = other61.state;
-  slots = other61.slots;
-  models = other61.models;
-  inFlight = other61.inFlight;
-  tokens = other61.tokens;
-  suspect = other61.suspect;
-  coming = other61.coming;
-  memoryTokens = other61.memoryTokens;
-  speedPercent = other61.speedPercent;
-  tokenNanos = other61.tokenNanos;
-  unreadTokens = other61.unreadTokens;
-  __isset = other61.__isset;
+ServerRow::ServerRow(const ServerRow& other78) {
+  server = other78.server;
+  address = other78.address;
+  serviceName = other78.serviceName;
+  failureDomain = other78.failureDomain;
+  state = other78.state;
+  slots = other78.slots;
+  models = other78.models;
+  inFlight = other78.inFlight;
+  tokens = other78.tokens;
+  suspect = other78.suspect;
+  coming = other78.coming;
+  memoryTokens = other78.memoryTokens;
+  speedPercent = other78.speedPercent;
+  tokenNanos = other78.tokenNanos;
+  unreadTokens = other78.unreadTokens;
+  __isset = other78.__isset;
+}
+ServerRow& ServerRow::operator=(const ServerRow& other79) {
+  server = other79.server;
+  address = other79.address;
+  serviceName = other79.serviceName;
+  failureDomain = other79.failureDomain;
+  state = other79.state;
+  slots = other79.slots;
+  models = other79.models;
+  inFlight = other79.inFlight;
+  tokens = other79.tokens;
+  suspect = other79.suspect;
+  coming = other79.coming;
+  memoryTokens = other79.memoryTokens;
+  speedPercent = other79.speedPercent;
+  tokenNanos = other79.tokenNanos;
+  unreadTokens = other79.unreadTokens;
+  __isset = other79.__isset;
   return *this;
 }
 void ServerRow::printTo(std::ostream& out) const {
@@ -1935,25 +2095,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLoad::ServerLoad(const ServerLoad& other62) {
-  server = other62.server;
-  inFlight = other62.inFlight;
-  tokens = other62.tokens;
-  suspect = other62.suspect;
-  speedPercent = other62.speedPercent;
-  tokenNanos = other62.tokenNanos;
-  unreadTokens = other62.unreadTokens;
-  __isset = other62.__isset;
-}
-ServerLoad& ServerLoad::operator=(const ServerLoad& other63) {
-  server = other63.server;
-  inFlight = other63.inFlight;
-  tokens = other63.tokens;
-  suspect = other63.suspect;
-  speedPercent = other63.speedPercent;
-  tokenNanos = other63.tokenNanos;
-  unreadTokens = other63.unreadTokens;
-  __isset = other63.__isset;
+ServerLoad::ServerLoad(const ServerLoad& other80) {
+  server = other80.server;
+  inFlight = other80.inFlight;
+  tokens = other80.tokens;
+  suspect = other80.suspect;
+  speedPercent = other80.speedPercent;
+  tokenNanos = other80.tokenNanos;
+  unreadTokens = other80.unreadTokens;
+  __isset = other80.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other81) {
+  server = other81.server;
+  inFlight = other81.inFlight;
+  tokens = other81.tokens;
+  suspect = other81.suspect;
+  speedPercent = other81.speedPercent;
+  tokenNanos = other81.tokenNanos;
+  unreadTokens = other81.unreadTokens;
+  __isset = other81.__isset;
   return *this;
 }
 void ServerLoad::printTo(std::ostream& out) const {
@@ -2062,15 +2222,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other64) {
-  model = other64.model;
-  readyInMs = other64.readyInMs;
-  __isset = other64.__isset;
+ComingModel::ComingModel(const ComingModel& other82) {
+  model = other82.model;
+  readyInMs = other82.readyInMs;
+  __isset = other82.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other65) {
-  model = other65.model;
-  readyInMs = other65.readyInMs;
-  __isset = other65.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other83) {
+  model = other83.model;
+  readyInMs = other83.readyInMs;
+  __isset = other83.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -2145,6 +2305,10 @@
 void SyncReply::__set_routesBytes(const int32_t val) {
   this->routesBytes = val;
 }
+
+void SyncReply::__set_heldParts(const std::vector<int64_t> & val) {
+  this->heldParts = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -2217,14 +2381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->rows.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->rows.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->rows[_i70].read(iprot);
+              xfer += this->rows[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2253,14 +2417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->members.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->members.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += iprot->readString(this->members[_i75]);
+              xfer += iprot->readString(this->members[_i93]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2281,14 +2445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->coming.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->coming.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->coming[_i80].read(iprot);
+              xfer += this->coming[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2301,14 +2465,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->suspects.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->suspects.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->suspects[_i85].read(iprot);
+              xfer += this->suspects[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2321,14 +2485,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->loads.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->loads.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->loads[_i90].read(iprot);
+              xfer += this->loads[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2353,6 +2517,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heldParts.clear();
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->heldParts.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
+            {
+              xfer += iprot->readI64(this->heldParts[_i113]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heldParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2393,10 +2577,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter91;
-    for (_iter91 = this->rows.begin(); _iter91 != this->rows.end(); ++_iter91)
+    std::vector<ServerRow> ::const_iterator _iter114;
+    for (_iter114 = this->rows.begin(); _iter114 != this->rows.end(); ++_iter114)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2413,10 +2597,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->members.begin(); _iter92 != this->members.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter115;
+    for (_iter115 = this->members.begin(); _iter115 != this->members.end(); ++_iter115)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter115));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2429,10 +2613,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter93;
-    for (_iter93 = this->coming.begin(); _iter93 != this->coming.end(); ++_iter93)
+    std::vector<ComingModel> ::const_iterator _iter116;
+    for (_iter116 = this->coming.begin(); _iter116 != this->coming.end(); ++_iter116)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2441,10 +2625,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter94;
-    for (_iter94 = this->suspects.begin(); _iter94 != this->suspects.end(); ++_iter94)
+    std::vector<Suspect> ::const_iterator _iter117;
+    for (_iter117 = this->suspects.begin(); _iter117 != this->suspects.end(); ++_iter117)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2453,10 +2637,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter95;
-    for (_iter95 = this->loads.begin(); _iter95 != this->loads.end(); ++_iter95)
+    std::vector<ServerLoad> ::const_iterator _iter118;
+    for (_iter118 = this->loads.begin(); _iter118 != this->loads.end(); ++_iter118)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2470,6 +2654,18 @@
   xfer += oprot->writeI32(this->routesBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
+    std::vector<int64_t> ::const_iterator _iter119;
+    for (_iter119 = this->heldParts.begin(); _iter119 != this->heldParts.end(); ++_iter119)
+    {
+      xfer += oprot->writeI64((*_iter119));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2492,44 +2688,47 @@
   swap(a.loads, b.loads);
   swap(a.compressedRoutes, b.compressedRoutes);
   swap(a.routesBytes, b.routesBytes);
+  swap(a.heldParts, b.heldParts);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other96) {
-  leader = other96.leader;
-  leaderAddress = other96.leaderAddress;
-  epoch = other96.epoch;
-  seen = other96.seen;
-  complete = other96.complete;
-  rows = other96.rows;
-  routesVersion = other96.routesVersion;
-  routes = other96.routes;
-  members = other96.members;
-  hosts = other96.hosts;
-  coming = other96.coming;
-  suspects = other96.suspects;
-  loads = other96.loads;
-  compressedRoutes = other96.compressedRoutes;
-  routesBytes = other96.routesBytes;
-  __isset = other96.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other97) {
-  leader = other97.leader;
-  leaderAddress = other97.leaderAddress;
-  epoch = other97.epoch;
-  seen = other97.seen;
-  complete = other97.complete;
-  rows = other97.rows;
-  routesVersion = other97.routesVersion;
-  routes = other97.routes;
-  members = other97.members;
-  hosts = other97.hosts;
-  coming = other97.coming;
-  suspects = other97.suspects;
-  loads = other97.loads;
-  compressedRoutes = other97.compressedRoutes;
-  routesBytes = other97.routesBytes;
-  __isset = other97.__isset;
+SyncReply::SyncReply(const SyncReply& other120) {
+  leader = other120.leader;
+  leaderAddress = other120.leaderAddress;
+  epoch = other120.epoch;
+  seen = other120.seen;
+  complete = other120.complete;
+  rows = other120.rows;
+  routesVersion = other120.routesVersion;
+  routes = other120.routes;
+  members = other120.members;
+  hosts = other120.hosts;
+  coming = other120.coming;
+  suspects = other120.suspects;
+  loads = other120.loads;
+  compressedRoutes = other120.compressedRoutes;
+  routesBytes = other120.routesBytes;
+  heldParts = other120.heldParts;
+  __isset = other120.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other121) {
+  leader = other121.leader;
+  leaderAddress = other121.leaderAddress;
+  epoch = other121.epoch;
+  seen = other121.seen;
+  complete = other121.complete;
+  rows = other121.rows;
+  routesVersion = other121.routesVersion;
+  routes = other121.routes;
+  members = other121.members;
+  hosts = other121.hosts;
+  coming = other121.coming;
+  suspects = other121.suspects;
+  loads = other121.loads;
+  compressedRoutes = other121.compressedRoutes;
+  routesBytes = other121.routesBytes;
+  heldParts = other121.heldParts;
+  __isset = other121.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -2550,6 +2749,7 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "compressedRoutes=" << to_string(compressedRoutes);
   out << ", " << "routesBytes=" << to_string(routesBytes);
+  out << ", " << "heldParts=" << to_string(heldParts);
   out << ")";
 }
 
@@ -2680,19 +2880,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other98) {
-  address = other98.address;
-  failureDomain = other98.failureDomain;
-  disk = other98.disk;
-  member = other98.member;
-  __isset = other98.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other122) {
+  address = other122.address;
+  failureDomain = other122.failureDomain;
+  disk = other122.disk;
+  member = other122.member;
+  __isset = other122.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other99) {
-  address = other99.address;
-  failureDomain = other99.failureDomain;
-  disk = other99.disk;
-  member = other99.member;
-  __isset = other99.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other123) {
+  address = other123.address;
+  failureDomain = other123.failureDomain;
+  disk = other123.disk;
+  member = other123.member;
+  __isset = other123.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -2785,14 +2985,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->members.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->members.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += iprot->readString(this->members[_i104]);
+              xfer += iprot->readString(this->members[_i128]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2805,14 +3005,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->memberIds.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->memberIds.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readI32(this->memberIds[_i109]);
+              xfer += iprot->readI32(this->memberIds[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2853,10 +3053,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter110;
-    for (_iter110 = this->members.begin(); _iter110 != this->members.end(); ++_iter110)
+    std::vector<std::string> ::const_iterator _iter134;
+    for (_iter134 = this->members.begin(); _iter134 != this->members.end(); ++_iter134)
     {
-      xfer += oprot->writeString((*_iter110));
+      xfer += oprot->writeString((*_iter134));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2865,10 +3065,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter111;
-    for (_iter111 = this->memberIds.begin(); _iter111 != this->memberIds.end(); ++_iter111)
+    std::vector<int32_t> ::const_iterator _iter135;
+    for (_iter135 = this->memberIds.begin(); _iter135 != this->memberIds.end(); ++_iter135)
     {
-      xfer += oprot->writeI32((*_iter111));
+      xfer += oprot->writeI32((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2889,21 +3089,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other112) {
-  leader = other112.leader;
-  leaderAddress = other112.leaderAddress;
-  member = other112.member;
-  members = other112.members;
-  memberIds = other112.memberIds;
-  __isset = other112.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other113) {
-  leader = other113.leader;
-  leaderAddress = other113.leaderAddress;
-  member = other113.member;
-  members = other113.members;
-  memberIds = other113.memberIds;
-  __isset = other113.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other136) {
+  leader = other136.leader;
+  leaderAddress = other136.leaderAddress;
+  member = other136.member;
+  members = other136.members;
+  memberIds = other136.memberIds;
+  __isset = other136.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other137) {
+  leader = other137.leader;
+  leaderAddress = other137.leaderAddress;
+  member = other137.member;
+  members = other137.members;
+  memberIds = other137.memberIds;
+  __isset = other137.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -313,9 +313,11 @@
 std::ostream& operator<<(std::ostream& out, const Fingerprint& obj);
 
 typedef struct _Crash__isset {
-  _Crash__isset() : server(false), request(false) {}
+  _Crash__isset() : server(false), request(false), parts(false), ageMs(false) {}
   bool server :1;
   bool request :1;
+  bool parts :1;
+  bool ageMs :1;
 } _Crash__isset;
 
 class Crash : public virtual ::apache::thrift::TBase {
@@ -324,12 +326,15 @@
   Crash(const Crash&);
   Crash& operator=(const Crash&);
   Crash() noexcept
-        : server() {
+        : server(),
+          ageMs(0) {
   }
 
   virtual ~Crash() noexcept;
   std::string server;
   Fingerprint request;
+  std::vector<int64_t>  parts;
+  int32_t ageMs;
 
   _Crash__isset __isset;
 
@@ -337,12 +342,20 @@
 
   void __set_request(const Fingerprint& val);
 
+  void __set_parts(const std::vector<int64_t> & val);
+
+  void __set_ageMs(const int32_t val);
+
   bool operator == (const Crash & rhs) const
   {
     if (!(server == rhs.server))
       return false;
     if (!(request == rhs.request))
       return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
     return true;
   }
   bool operator != (const Crash &rhs) const {
@@ -411,7 +424,7 @@
 std::ostream& operator<<(std::ostream& out, const Suspect& obj);
 
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false) {}
+  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false), startedParts(false), starts(false), heldParts(false) {}
   bool host :1;
   bool failureDomain :1;
   bool instance :1;
@@ -424,6 +437,9 @@
   bool waitMs :1;
   bool completed :1;
   bool takesCompressed :1;
+  bool startedParts :1;
+  bool starts :1;
+  bool heldParts :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -439,7 +455,8 @@
                 seen(0),
                 routesVersion(0),
                 waitMs(0),
-                takesCompressed(0) {
+                takesCompressed(0),
+                starts(0) {
   }
 
   virtual ~SyncRequest() noexcept;
@@ -455,6 +472,9 @@
   int32_t waitMs;
   std::vector<Fingerprint>  completed;
   bool takesCompressed;
+  std::vector<int64_t>  startedParts;
+  int32_t starts;
+  std::vector<int64_t>  heldParts;
 
   _SyncRequest__isset __isset;
 
@@ -482,6 +502,12 @@
 
   void __set_takesCompressed(const bool val);
 
+  void __set_startedParts(const std::vector<int64_t> & val);
+
+  void __set_starts(const int32_t val);
+
+  void __set_heldParts(const std::vector<int64_t> & val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(host == rhs.host))
@@ -508,6 +534,12 @@
       return false;
     if (!(takesCompressed == rhs.takesCompressed))
       return false;
+    if (!(startedParts == rhs.startedParts))
+      return false;
+    if (!(starts == rhs.starts))
+      return false;
+    if (!(heldParts == rhs.heldParts))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -801,7 +833,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -817,6 +849,7 @@
   bool loads :1;
   bool compressedRoutes :1;
   bool routesBytes :1;
+  bool heldParts :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -853,6 +886,7 @@
   std::vector<ServerLoad>  loads;
   std::string compressedRoutes;
   int32_t routesBytes;
+  std::vector<int64_t>  heldParts;
 
   _SyncReply__isset __isset;
 
@@ -886,6 +920,8 @@
 
   void __set_routesBytes(const int32_t val);
 
+  void __set_heldParts(const std::vector<int64_t> & val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -918,6 +954,8 @@
       return false;
     if (!(routesBytes == rhs.routesBytes))
       return false;
+    if (!(heldParts == rhs.heldParts))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/CallHeaders.hpp
+++ b/protocol/CallHeaders.hpp
@@ -22,6 +22,9 @@
   std::string model_;
   /// Tokens of the prompt and most tokens of the answer: "IN,OUT".
   std::string tokens_;
+  /// Parts of the prompt in order, "ID:TOKENS,...". All but the last are
+  /// shared with other requests.
+  std::string promptParts_;
   /// Rank of a request at a server; 0 is first.
   std::string urgency_;
   /// Id of the last event that the sender has.
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -41,6 +41,8 @@
   // 1 was the fingerprint as text
   2: string server
   3: Fingerprint request
+  4: list<i64> parts     // shared parts of its prompt, if no event had come yet
+  5: i32 ageMs           // since the connection broke
 }
 
 // A request that servers may have failed from.
@@ -62,6 +64,9 @@
   10: i32 waitMs         // longest time to hold the answer until a change
   11: list<Fingerprint> completed  // suspects that have run to their end
   12: bool takesCompressed  // routes may be answered in compressedRoutes
+  13: list<i64> startedParts // shared parts of prompts with a first event since the last call
+  14: i32 starts         // requests with prompts with a first event since then
+  15: list<i64> heldParts // told by an earlier leader
 }
 
 struct ServerRow {
@@ -115,6 +120,7 @@
   14: list<ServerLoad> loads  // of servers of which nothing else has changed
   15: binary compressedRoutes // instead of routes
   16: i32 routesBytes    // size of the routes in compressedRoutes
+  17: list<i64> heldParts // requests whose prompts have one are not forwarded
 }
 
 struct JoinRequest {
--- a/tests/GroupHostTest.cpp
+++ b/tests/GroupHostTest.cpp
@@ -244,4 +244,36 @@
   }));
 }
 
+BOOST_FIXTURE_TEST_CASE(TellsHostsWhichPartOfPromptsCrashesServers, Fixture)
+{
+  constexpr std::int64_t kPart = 7;
+  Start(1);
+  BOOST_REQUIRE(Await([&] { return Leader() != nullptr; }));
+  Member& leader = *Leader();
+  leader.controller_->Start();
+  const auto sync = [&](const wire::SyncRequest& aRequest) {
+    leader.loop_.run_for(20ms);
+    wire::SyncReply reply;
+    leader.controller_->Sync(aRequest, reply);
+    return reply;
+  };
+  BOOST_REQUIRE(Await([&] { return sync({}).leader; }));
+  wire::SyncRequest report;
+  report.host = "e1";
+  for (int i = 1; i <= 3; ++i) {
+    wire::Crash& crash = report.crashes.emplace_back();
+    crash.request.low = i;
+    crash.server = "s" + std::to_string(i);
+    crash.parts = { kPart };
+    crash.ageMs = 4000 - 1000 * i;
+  }
+  BOOST_TEST(sync(report).heldParts.empty());
+  wire::SyncRequest others;
+  others.host = "e2";
+  others.starts = 20;
+  BOOST_TEST(sync(others).heldParts == std::vector{ kPart });
+  others.startedParts = { kPart };
+  BOOST_TEST(sync(others).heldParts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,9 @@
   {
     std::this_thread::sleep_for(10ms);
     const std::lock_guard lock(mutex_);
+    startedParts_.insert(aRequest.startedParts.begin(),
+                         aRequest.startedParts.end());
+    reportedHeldParts_ = aRequest.heldParts;
     crashes_.insert(
       crashes_.end(), aRequest.crashes.begin(), aRequest.crashes.end());
     aReply = reply_;
@@ -79,6 +83,22 @@
     return crashes_;
   }
 
+  void SetHeldParts(std::vector<std::int64_t> aParts)
+  {
+    const std::lock_guard lock(mutex_);
+    reply_.heldParts = std::move(aParts);
+  }
+  std::set<std::int64_t> StartedParts()
+  {
+    const std::lock_guard lock(mutex_);
+    return startedParts_;
+  }
+  std::vector<std::int64_t> ReportedHeldParts()
+  {
+    const std::lock_guard lock(mutex_);
+    return reportedHeldParts_;
+  }
+
   void SetLeader(bool aIsLeader)
   {
     const std::lock_guard lock(mutex_);
@@ -89,6 +109,8 @@
   std::mutex mutex_;
   wire::SyncReply reply_;
   std::vector<wire::Crash> crashes_;
+  std::set<std::int64_t> startedParts_;
+  std::vector<std::int64_t> reportedHeldParts_;
   bool isLeader_ = true;
 };
 
@@ -149,9 +171,9 @@
       "127.0.0.1:" + std::to_string(tests::FreePort());
     settings_.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
     settings_.retries_ = { 0.2, 50, 10s };
-    settings_.headers_ = { "Id",      "Deadline",  "Expect-Server", "Not-Run",
-                           "Stamp",   "Model",     "Tokens",        "Urgency",
-                           "Last-Id", { "Secret" } };
+    settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
+                           "Stamp",   "Model",    "Tokens",        "Parts",
+                           "Urgency", "Last-Id",  { "Secret" } };
     settings_.parseRoutes_ = [](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
@@ -221,7 +243,8 @@
     BOOST_REQUIRE(aDone);
   }
 
-  transport::WholeAnswer Call(const std::string& aTarget)
+  transport::WholeAnswer Call(const std::string& aTarget,
+                              const std::string& aParts = "")
   {
     bool done = false;
     transport::WholeAnswer received;
@@ -230,8 +253,12 @@
       loop_.run_for(10ms);
     }
     transport::Spawn(loop_, [&]() -> Task<void> {
-      auto answer = co_await transport::CallOnce(
-        loop_, callerAddress_, Request(aTarget), 5s);
+      HttpRequest request = Request(aTarget);
+      if (!aParts.empty()) {
+        request.set("Parts", aParts);
+      }
+      auto answer =
+        co_await transport::CallOnce(loop_, callerAddress_, request, 5s);
       if (answer.Ok()) {
         received = std::move(answer.Value());
       }
