Keep what hosts know of crashes until a new leader knows it too

Cause: until a new leader has read the list of servers, its replies repeat the epoch of the host's rows. Hosts took its empty list of suspects for that of their own leader and forgot every request and part of a prompt that was held back; it reached servers again after each change of the leader. Change: SyncReply::crashEpoch names the leader of whom suspects and held parts are, whether it has read the list or not. At a new one the host reports its crashes and held parts again, and replaces its own by the leader's from the next reply on.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -522,6 +522,7 @@
 {
   aReply.leader = true;
   aReply.epoch = static_cast<std::int64_t>(term_.Value());
+  aReply.crashEpoch = aReply.epoch;
   const bool known = aRequest.epoch == aReply.epoch;
   // Until the list has been read, a host keeps what it holds.
   aReply.complete = !known && listed_;
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -648,7 +648,9 @@
 {
   std::set<coordination::PromptPart> held(aReply.heldParts.begin(),
                                           aReply.heldParts.end());
-  if (aReply.epoch != epoch_) {
+  const std::int64_t epoch =
+    aReply.crashEpoch != 0 ? aReply.crashEpoch : aReply.epoch;
+  if (std::exchange(crashEpoch_, epoch) != epoch) {
     // A new leader has no record of what this host reported to the previous
     // one, so that its own lists are not complete yet.
     heldParts_.merge(held);
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -173,6 +173,8 @@
   std::set<coordination::PromptPart> heldParts_;
   /// Reports name heldParts_ until the leader, which is new, has replied.
   bool reportHeldParts_ = false;
+  /// Leader of which the suspects and heldParts_ are; 0: none.
+  std::int64_t crashEpoch_ = 0;
   std::vector<wire::Fingerprint> completedReports_;
 
   /// Epoch of the leader that sent the server rows (it changes with the leader)
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -2309,6 +2309,10 @@
 void SyncReply::__set_heldParts(const std::vector<int64_t> & val) {
   this->heldParts = val;
 }
+
+void SyncReply::__set_crashEpoch(const int64_t val) {
+  this->crashEpoch = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -2537,6 +2541,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->crashEpoch);
+          this->__isset.crashEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2666,6 +2678,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashEpoch", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->crashEpoch);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2689,6 +2705,7 @@
   swap(a.compressedRoutes, b.compressedRoutes);
   swap(a.routesBytes, b.routesBytes);
   swap(a.heldParts, b.heldParts);
+  swap(a.crashEpoch, b.crashEpoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -2709,6 +2726,7 @@
   compressedRoutes = other120.compressedRoutes;
   routesBytes = other120.routesBytes;
   heldParts = other120.heldParts;
+  crashEpoch = other120.crashEpoch;
   __isset = other120.__isset;
 }
 SyncReply& SyncReply::operator=(const SyncReply& other121) {
@@ -2728,6 +2746,7 @@
   compressedRoutes = other121.compressedRoutes;
   routesBytes = other121.routesBytes;
   heldParts = other121.heldParts;
+  crashEpoch = other121.crashEpoch;
   __isset = other121.__isset;
   return *this;
 }
@@ -2750,6 +2769,7 @@
   out << ", " << "compressedRoutes=" << to_string(compressedRoutes);
   out << ", " << "routesBytes=" << to_string(routesBytes);
   out << ", " << "heldParts=" << to_string(heldParts);
+  out << ", " << "crashEpoch=" << to_string(crashEpoch);
   out << ")";
 }
 
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -833,7 +833,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -850,6 +850,7 @@
   bool compressedRoutes :1;
   bool routesBytes :1;
   bool heldParts :1;
+  bool crashEpoch :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -867,7 +868,8 @@
               routes(),
               hosts(0),
               compressedRoutes(),
-              routesBytes(0) {
+              routesBytes(0),
+              crashEpoch(0) {
   }
 
   virtual ~SyncReply() noexcept;
@@ -887,6 +889,7 @@
   std::string compressedRoutes;
   int32_t routesBytes;
   std::vector<int64_t>  heldParts;
+  int64_t crashEpoch;
 
   _SyncReply__isset __isset;
 
@@ -922,6 +925,8 @@
 
   void __set_heldParts(const std::vector<int64_t> & val);
 
+  void __set_crashEpoch(const int64_t val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -956,6 +961,8 @@
       return false;
     if (!(heldParts == rhs.heldParts))
       return false;
+    if (!(crashEpoch == rhs.crashEpoch))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -121,6 +121,7 @@
   15: binary compressedRoutes // instead of routes
   16: i32 routesBytes    // size of the routes in compressedRoutes
   17: list<i64> heldParts // requests whose prompts have one are not forwarded
+  18: i64 crashEpoch     // changes with the leader, which knows suspects and heldParts; 0: epoch
 }
 
 struct JoinRequest {
--- a/tests/PromptPartsTest.cpp
+++ b/tests/PromptPartsTest.cpp
@@ -82,6 +82,15 @@
   BOOST_TEST(Call("/model/a", kSound).status_ == 200U);
 }
 
+BOOST_FIXTURE_TEST_CASE(StaysHeldBackWhenTheLeaderChanges, Fixture)
+{
+  Hold("dead");
+  fleet_->ChangeLeader();
+  Await([&] {
+    return fleet_->ReportedHeldParts() == std::vector{ PartOf("dead") };
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(IsForwardedOnceReleased, Fixture)
 {
   Hold("dead");
@@ -123,4 +132,13 @@
   BOOST_TEST(fleet_->StartedParts().contains(PartOf("beef")));
 }
 
+BOOST_FIXTURE_TEST_CASE(IsReportedAgainToANewLeader, Fixture)
+{
+  StartServer("s1", BreakConnection(), "llm");
+  Call("/model/a", kDeadly);
+  Await([&] { return Reported({ PartOf("f00d"), PartOf("dead") }); });
+  fleet_->ChangeLeader();
+  Await([&] { return Reported({ PartOf("f00d"), PartOf("dead") }); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,6 +40,10 @@
     startedParts_.insert(aRequest.startedParts.begin(),
                          aRequest.startedParts.end());
     reportedHeldParts_ = aRequest.heldParts;
+    if (!aRequest.crashes.empty() && crashReportsToFail_ > 0) {
+      --crashReportsToFail_;
+      throw std::runtime_error("the report is lost");
+    }
     crashes_.insert(
       crashes_.end(), aRequest.crashes.begin(), aRequest.crashes.end());
     aReply = reply_;
@@ -88,6 +93,21 @@
     const std::lock_guard lock(mutex_);
     reply_.heldParts = std::move(aParts);
   }
+  /// A new leader, which knows nothing of crashes.
+  void ChangeLeader()
+  {
+    const std::lock_guard lock(mutex_);
+    ++reply_.crashEpoch;
+    reply_.heldParts.clear();
+    reply_.suspects.clear();
+    crashes_.clear();
+  }
+  /// That many reports of crashes are lost.
+  void FailCrashReports(int aCount)
+  {
+    const std::lock_guard lock(mutex_);
+    crashReportsToFail_ = aCount;
+  }
   std::set<std::int64_t> StartedParts()
   {
     const std::lock_guard lock(mutex_);
@@ -111,6 +131,7 @@
   std::vector<wire::Crash> crashes_;
   std::set<std::int64_t> startedParts_;
   std::vector<std::int64_t> reportedHeldParts_;
+  int crashReportsToFail_ = 0;
   bool isLeader_ = true;
 };
 
