Report a crash again when the report got no reply

Cause: what a host reported left its memory when the call was built. A call that was lost with its leader or its connection took its crashes along, so that one of the few that decide on a request or a part of a prompt was missing. PromptPartsTest, IsReportedAgainWhenTheReportIsLost.

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -494,8 +494,11 @@
     use.model = name.Value();
     request.models.push_back(std::move(use));
   }
-  for (const coordination::PromptCrash& crash :
-       std::exchange(crashReports_, {})) {
+  // A report without a reply may be lost.
+  sentCrashReports_.insert(
+    sentCrashReports_.end(), crashReports_.begin(), crashReports_.end());
+  crashReports_.clear();
+  for (const coordination::PromptCrash& crash : sentCrashReports_) {
     wire::Crash& out = request.crashes.emplace_back();
     out.request = ToWire(crash.request_);
     out.server = crash.server_.Value();
@@ -646,6 +649,7 @@
 void
 Gateway::ApplySuspects(const wire::SyncReply& aReply)
 {
+  sentCrashReports_.clear();
   std::set<coordination::PromptPart> held(aReply.heldParts.begin(),
                                           aReply.heldParts.end());
   const std::int64_t epoch =
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -163,7 +163,9 @@
   std::map<core::ServerId, std::multiset<core::ModelName>> runningModels_;
   /// Tracks requests during which servers broke their connections.
   coordination::CrashGuard crashGuard_;
+  /// To be reported, and reported without a reply so far.
   std::vector<coordination::PromptCrash> crashReports_;
+  std::vector<coordination::PromptCrash> sentCrashReports_;
   /// Crashes with parts of prompts, for a new leader; the oldest first.
   std::deque<coordination::PromptCrash> promptCrashes_;
   /// Parts of prompts with a first event since the last report, and the number
--- a/tests/PromptPartsTest.cpp
+++ b/tests/PromptPartsTest.cpp
@@ -132,6 +132,16 @@
   BOOST_TEST(fleet_->StartedParts().contains(PartOf("beef")));
 }
 
+BOOST_FIXTURE_TEST_CASE(IsReportedAgainWhenTheReportIsLost, Fixture)
+{
+  fleet_->FailCrashReports(1);
+  StartServer("s1", BreakConnection(), "llm");
+  Call("/model/a", kDeadly);
+  Await([&] {
+    return fleet_->Crashes().size() >= static_cast<std::size_t>(arrivals_);
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(IsReportedAgainToANewLeader, Fixture)
 {
   StartServer("s1", BreakConnection(), "llm");
