Give back the prompt of a slot that is not used

Cause: a caller that left between the assignment of its slot and its use gave back slot and tokens, but not the tokens of its prompt: they counted as being read at that server for good, and the pause limit kept other streams away. Found by reading; a request that is held back at that moment takes the same path. Change: the path ends with Finish, as all others. Ran: GatewayTest, no errors.

--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -436,10 +436,8 @@
     queueId_.reset();
   }
   if (hasSlot_ && (callerGone_ || HeldBack())) {
-    gateway_.view_.OnFinish(choice_.server_,
-                            requirements_.tokens_,
-                            SendOutcome::Neutral,
-                            gateway_.clock_.Now());
+    awaitingFirstEvent_ = true;
+    Finish(SendOutcome::Neutral);
     hasSlot_ = false;
   }
   co_return hasSlot_;
