Let the fake leader of the tests change like a real one

Cause: its first change kept the crash epoch that hosts had taken from the epoch of its rows, so that they saw no new leader; PromptPartsTest, IsReportedAgainToANewLeader failed in one of 15 runs and passed by a second crash report else. Change: the fake leader has a crash epoch of its own from the start, and the case of the parts held back waits until the reports of the start are over. 15 runs, no errors.

--- a/tests/PromptPartsTest.cpp
+++ b/tests/PromptPartsTest.cpp
@@ -89,6 +89,7 @@
 BOOST_FIXTURE_TEST_CASE(StaysHeldBackWhenTheLeaderChanges, Fixture)
 {
   Hold("dead");
+  Await([&] { return fleet_->ReportedHeldParts().empty(); });
   fleet_->ChangeLeader();
   Await([&] {
     return fleet_->ReportedHeldParts() == std::vector{ PartOf("dead") };
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -49,6 +49,7 @@
     aReply = reply_;
     aReply.leader = isLeader_;
     aReply.epoch = 1;
+    aReply.crashEpoch = crashEpoch_;
     aReply.complete = aRequest.epoch != 1;
     aReply.hosts = 1;
     aReply.routesVersion = 1;
@@ -97,7 +98,7 @@
   void ChangeLeader()
   {
     const std::lock_guard lock(mutex_);
-    ++reply_.crashEpoch;
+    ++crashEpoch_;
     reply_.heldParts.clear();
     reply_.suspects.clear();
     crashes_.clear();
@@ -132,6 +133,8 @@
   std::set<std::int64_t> startedParts_;
   std::vector<std::int64_t> reportedHeldParts_;
   int crashReportsToFail_ = 0;
+  /// Differs from the epoch, which stays while a new leader reads the list.
+  std::int64_t crashEpoch_ = 2;
   bool isLeader_ = true;
 };
 
