--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -37,21 +37,10 @@
 /// which it polls for one.
 constexpr std::chrono::milliseconds kRoutesTimeout{ 1500 };
 constexpr std::chrono::milliseconds kRoutesPollInterval{ 20 };
-/// How long a request waits when no server of its service is known.
-constexpr std::chrono::milliseconds kNoServerTimeout{ 1000 };
-/// Time that must remain after a server slot is assigned: the minimum in which
-/// a stream can start and a plain request can run.
-constexpr std::chrono::milliseconds kStreamReserve{ 400 };
-constexpr std::chrono::milliseconds kPlainReserve{ 20 };
 /// A repeatable request is sent to another server when its answer takes longer
 /// than this multiple of the latency target.
 constexpr int kSlowAnswerFactor = 2;
 constexpr std::chrono::milliseconds kMinSlowAnswerTimeout{ 150 };
-/// Retry-After when nothing better is known.
-constexpr std::chrono::milliseconds kDefaultRetryAfter{ 500 };
-/// Time within which the control group decides whether to load a model that a
-/// request needs and tells the host.
-constexpr std::chrono::milliseconds kLoadDecisionTime{ 500 };
 /// Number of servers lost during a request at which it is no longer retried.
 constexpr std::uint32_t kServersLostToStopRetries = 2;
 /// Interval at which it is checked whether a request can leave a silent server.
@@ -346,149 +335,6 @@
   return deadline_ - gateway_.clock_.Now();
 }
 
-std::optional<core::MonotonicTime>
-GatewayCall::SlotDeadline() const
-{
-  const core::MonotonicTime now = gateway_.clock_.Now();
-  if (HeldBack()) {
-    return std::nullopt;
-  }
-  const auto choiceStatus =
-    gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
-  if (choiceStatus == BackendChoiceStatus::NoServer) {
-    return std::min(deadline_ - kPlainReserve, now + kNoServerTimeout);
-  }
-  core::MonotonicTime latest = deadline_ - kPlainReserve;
-  if (route_->kind_ == RequestKind::Stream) {
-    // The caller disconnects when the first event takes longer than its idle
-    // timeout.
-    latest = std::min(deadline_, arrivedAt_ + route_->callerIdleTimeout_) -
-             kStreamReserve;
-  }
-  if (gateway_.draining_) {
-    // This process stops soon; another host can still find a server slot.
-    latest = std::min(latest, gateway_.drainSlotDeadline_);
-  }
-  const auto readyAt = gateway_.ExpectedReadyTime(requirements_.model_);
-  const bool tooLate = choiceStatus == BackendChoiceStatus::NoModel &&
-                       readyAt && *readyAt > latest;
-  // While draining, refuse calls for a base model that no server is loading,
-  // once the control group has had time to decide on a load: the caller can
-  // retry at a host that is not stopping and can wait longer.
-  const bool leaveToOtherHost =
-    gateway_.draining_ && choiceStatus == BackendChoiceStatus::NoModel &&
-    !readyAt &&
-    coordination::SplitModel(requirements_.model_).adapter_.empty() &&
-    now >= arrivedAt_ + kLoadDecisionTime;
-  if (tooLate || leaveToOtherHost || latest <= now) {
-    return std::nullopt;
-  }
-  return latest;
-}
-
-Task<bool>
-GatewayCall::AwaitSlot()
-{
-  const core::MonotonicTime now = gateway_.clock_.Now();
-  if (!requirements_.tried_.empty()) {
-    const auto choiceStatus =
-      gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
-    if (choiceStatus == BackendChoiceStatus::NoModel ||
-        choiceStatus == BackendChoiceStatus::NoServer) {
-      requirements_.tried_.clear();
-    }
-  }
-  hasSlot_ = false;
-  if (gateway_.draining_ && sends_ == 0 && now >= gateway_.drainSlotDeadline_ &&
-      deadline_ > gateway_.stopTime_) {
-    // The stop might cut it.
-    co_return false;
-  }
-  if (HeldBack()) {
-    co_return false;
-  }
-  queueId_ = gateway_.queue_.Add({ requirements_,
-                                   route_->priority_,
-                                   arrivedAt_,
-                                   deadline_,
-                                   arrivedAt_ + route_->latencyTarget_ / 2 });
-  gateway_.waiting_[*queueId_] = this;
-  gateway_.AssignSlots();
-  while (!hasSlot_ && !callerGone_) {
-    const auto latest = SlotDeadline();
-    if (!latest) {
-      break;
-    }
-    if (gateway_.models_.contains(requirements_.model_)) {
-      // Report the waiting call at once, so that the control group can decide
-      // whether to load the model.
-      gateway_.fleet_.SyncNow();
-    }
-    const core::Duration time = *latest - gateway_.clock_.Now();
-    const bool expired = co_await transport::Sleep(timer_, time);
-    if (expired) {
-      break;
-    }
-  }
-  if (queueId_) {
-    gateway_.queue_.Remove(*queueId_);
-    gateway_.waiting_.erase(*queueId_);
-    queueId_.reset();
-  }
-  if (hasSlot_ && (callerGone_ || HeldBack())) {
-    awaitingFirstEvent_ = true;
-    Finish(SendOutcome::Neutral);
-    hasSlot_ = false;
-  }
-  co_return hasSlot_;
-}
-
-void
-GatewayCall::OnSlotAssigned(const coordination::BackendChoice& aChoice)
-{
-  queueId_.reset();
-  choice_ = aChoice;
-  hasSlot_ = true;
-  queueTime_ = gateway_.clock_.Now() - arrivedAt_;
-  loadAtAssignment_ = gateway_.view_.LoadOf(aChoice.server_);
-  timer_.cancel();
-}
-
-Task<void>
-GatewayCall::RefuseWithoutSlot()
-{
-  const core::MonotonicTime now = gateway_.clock_.Now();
-  if (streaming_) {
-    link_->Abort();
-    keepAlive_ = false;
-    LogOutcome("no server to resume stream");
-    co_return;
-  }
-  const auto choiceStatus =
-    gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
-  core::Duration retryAfter = kDefaultRetryAfter;
-  GatewayRefusal reason = GatewayRefusal::NoServer;
-  if (choiceStatus == BackendChoiceStatus::NoModel) {
-    reason = GatewayRefusal::NoModel;
-    const auto readyAt = gateway_.ExpectedReadyTime(requirements_.model_);
-    if (readyAt && *readyAt > now) {
-      retryAfter = *readyAt - now;
-    }
-  } else if (choiceStatus == BackendChoiceStatus::Full) {
-    reason = GatewayRefusal::Full;
-  }
-  if (gateway_.draining_) {
-    reason = GatewayRefusal::Draining;
-    retryAfter = core::Duration(0);
-  }
-  if (HeldBack()) {
-    co_await Refuse(
-      GatewayRefusal::Quarantined, runs_ > 0 ? 502 : 503, std::nullopt);
-    co_return;
-  }
-  co_await Refuse(reason, runs_ > 0 ? 502 : 503, retryAfter);
-}
-
 HttpRequest
 GatewayCall::MakeServerRequest() const
 {
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -4,6 +4,7 @@
 #include "entry/Gateway.hpp"
 #include "protocol/EventStream.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -35,6 +36,13 @@
   void RecheckDeadline() { timer_.cancel(); }
 
 private:
+  /// Time that must remain after a server slot is assigned: the minimum in
+  /// which a stream can start and a plain request can run.
+  static constexpr std::chrono::milliseconds kStreamReserve{ 400 };
+  static constexpr std::chrono::milliseconds kPlainReserve{ 20 };
+  /// Retry-After when nothing better is known.
+  static constexpr std::chrono::milliseconds kDefaultRetryAfter{ 500 };
+
   enum class AttemptResult : std::uint8_t
   {
     /// The answer has been written, or the caller has disconnected.
--- /dev/null
+++ b/entry/GatewaySync.cpp
@@ -0,0 +1,347 @@
+#include "coordination/ModelPlacement.hpp"
+#include "core/Durations.hpp"
+#include "core/Log.hpp"
+#include "entry/Gateway.hpp"
+#include "entry/GatewayCall.hpp"
+#include "protocol/Compression.hpp"
+#include "protocol/FingerprintWire.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusslip::entry {
+
+namespace {
+
+using protocol::FromWire;
+using protocol::ToWire;
+
+/// Crashes with parts of prompts that are reported again to a new leader.
+constexpr std::size_t kMaxPromptCrashes = 64;
+constexpr std::chrono::seconds kPromptCrashLifetime{ 60 };
+/// Parts of prompts in one report.
+constexpr std::size_t kMaxStartedParts = 1024;
+
+std::vector<std::int64_t>
+ToWireParts(const auto& aParts)
+{
+  std::vector<std::int64_t> out;
+  out.reserve(aParts.size());
+  for (const coordination::PromptPart part : aParts) {
+    out.push_back(static_cast<std::int64_t>(part));
+  }
+  return out;
+}
+
+/// Takes the load of a wire::ServerRow or wire::ServerLoad.
+template<typename Figures>
+void
+SetLoad(coordination::BackendRow& aRow, const Figures& aFigures)
+{
+  aRow.othersInFlight_ =
+    static_cast<std::uint32_t>(std::max(0, aFigures.inFlight));
+  aRow.othersTokens_ =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(0, aFigures.tokens));
+  // speedPercent is the time for a prompt relative to the mean server, so
+  // higher is slower; 0: not known.
+  aRow.slowness_ =
+    aFigures.speedPercent > 0 ? aFigures.speedPercent / 100.0 : 1.0;
+  aRow.tokenTime_ = std::chrono::nanoseconds(std::max(0, aFigures.tokenNanos));
+  aRow.othersPrefillTokens_ = static_cast<std::uint64_t>(
+    std::max<std::int64_t>(0, aFigures.unreadTokens));
+  aRow.suspect_ = aFigures.suspect;
+}
+
+} // namespace
+
+wire::SyncRequest
+Gateway::BuildSyncRequest()
+{
+  wire::SyncRequest request;
+  request.host = settings_.host_.Value();
+  request.failureDomain = settings_.failureDomain_.Value();
+  request.instance = instance_;
+  request.epoch = epoch_;
+  request.seen = seenChange_;
+  request.takesCompressed = true;
+  request.routesVersion =
+    routes_ ? static_cast<std::int64_t>(routes_->Version()) : 0;
+  for (const auto& [id, use] : view_.TakeUsage()) {
+    wire::ServerUse out;
+    out.server = id.Value();
+    out.inFlight = static_cast<std::int32_t>(use.inFlight_);
+    out.tokens = static_cast<std::int64_t>(use.tokens_);
+    out.failures = static_cast<std::int32_t>(use.failures_);
+    out.successes = static_cast<std::int32_t>(use.successes_);
+    out.unreachable = static_cast<std::int32_t>(use.unreachable_);
+    out.promptRuns = static_cast<std::int32_t>(use.prompts_.runs_);
+    out.promptTokens = static_cast<std::int64_t>(use.prompts_.tokens_);
+    out.promptMicros = static_cast<std::int64_t>(use.prompts_.micros_);
+    out.tokensSquared = use.prompts_.tokensSquared_;
+    out.tokensMicros = use.prompts_.tokensMicros_;
+    out.unreadTokens = static_cast<std::int64_t>(use.prefillTokens_);
+    for (const core::ModelName& model : use.missing_) {
+      out.missing.push_back(model.Value());
+    }
+    const auto active = runningModels_.find(id);
+    if (active != runningModels_.end()) {
+      std::set<core::ModelName> models(active->second.begin(),
+                                       active->second.end());
+      for (const core::ModelName& model : models) {
+        out.active.push_back(model.Value());
+      }
+    }
+    request.uses.push_back(std::move(out));
+  }
+  std::map<core::ModelName, wire::ModelUse> models;
+  for (auto& [name, use] : models_) {
+    if (use.inFlight_ > 0 || use.arrivals_ > 0) {
+      wire::ModelUse& out = models[name];
+      out.inFlight = static_cast<std::int32_t>(use.inFlight_);
+      out.arrivals = static_cast<std::int32_t>(std::exchange(use.arrivals_, 0));
+    }
+  }
+  for (const auto& [id, waiting] : queue_.All()) {
+    if (waiting.need_.model_.Empty()) {
+      continue;
+    }
+    wire::ModelUse& out = models[waiting.need_.model_];
+    ++out.waiting;
+    out.tokens += static_cast<std::int64_t>(waiting.need_.tokens_);
+    // The waiting calls' summed weight; priority 0 is the most urgent.
+    out.worth += 1.0 / (1.0 + waiting.priority_);
+  }
+  for (auto& [name, use] : models) {
+    use.model = name.Value();
+    request.models.push_back(std::move(use));
+  }
+  // A report without a reply may be lost.
+  sentCrashReports_.insert(
+    sentCrashReports_.end(), crashReports_.begin(), crashReports_.end());
+  crashReports_.clear();
+  for (const coordination::PromptCrash& crash : sentCrashReports_) {
+    wire::Crash& out = request.crashes.emplace_back();
+    out.request = ToWire(crash.request_);
+    out.server = crash.server_.Value();
+    out.parts = ToWireParts(crash.parts_);
+    out.ageMs =
+      static_cast<std::int32_t>(core::Milliseconds(clock_.Now() - crash.at_));
+  }
+  request.completed = std::exchange(completedReports_, {});
+  request.startedParts = ToWireParts(std::exchange(startedParts_, {}));
+  request.starts = static_cast<std::int32_t>(std::exchange(starts_, 0));
+  if (reportHeldParts_) {
+    request.heldParts = ToWireParts(heldParts_);
+  }
+  return request;
+}
+
+void
+Gateway::ApplySyncReply(const wire::SyncReply& aReply)
+{
+  ApplyRoutes(aReply);
+  ApplySuspects(aReply);
+  ApplyServerRows(aReply);
+  if (aReply.hosts > 0 && hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
+    hosts_ = static_cast<std::uint32_t>(aReply.hosts);
+    for (auto& [service, budget] : budgets_) {
+      budget.SetHosts(hosts_);
+    }
+  }
+  const core::MonotonicTime now = clock_.Now();
+  expectedReady_.clear();
+  for (const wire::ComingModel& model : aReply.coming) {
+    expectedReady_[core::ModelName(model.model)] =
+      now + std::chrono::milliseconds(model.readyInMs);
+  }
+  AssignSlots();
+  // Calls whose model will be loaded too late are refused immediately instead
+  // of at their deadline.
+  for (const auto& [id, call] : waiting_) {
+    if (!call->CanStillGetSlot()) {
+      call->RecheckDeadline();
+    }
+  }
+}
+
+void
+Gateway::ApplyRoutes(const wire::SyncReply& aReply)
+{
+  const auto currentVersion = routes_ ? routes_->Version() : 0;
+  const bool compressed = !aReply.compressedRoutes.empty();
+  if ((aReply.routes.empty() && !compressed) ||
+      static_cast<std::uint64_t>(aReply.routesVersion) <= currentVersion) {
+    return;
+  }
+  core::Result<std::string> text =
+    compressed ? protocol::Decompress(
+                   aReply.compressedRoutes,
+                   static_cast<std::size_t>(std::max(0, aReply.routesBytes)))
+               : core::Result<std::string>(aReply.routes);
+  auto routes = text.Ok()
+                  ? settings_.parseRoutes_(text.Value())
+                  : core::Result<coordination::RouteTable>(text.Failure());
+  if (!routes.Ok()) {
+    core::Log(core::LogLevel::Error,
+              "cannot parse routing table",
+              { { "version", std::to_string(aReply.routesVersion) },
+                { "reason", routes.Failure().Message() } });
+    return;
+  }
+  routes_ =
+    std::make_shared<const coordination::RouteTable>(std::move(routes.Value()));
+  core::Log(core::LogLevel::Info,
+            "routes in force",
+            { { "version", std::to_string(routes_->Version()) },
+              { "routes", std::to_string(routes_->Routes().size()) } });
+}
+
+void
+Gateway::RecordBrokenConnection(
+  const core::Digest& aFingerprint,
+  const core::ServerId& aServer,
+  const std::vector<coordination::PromptPart>& aParts)
+{
+  const core::MonotonicTime now = clock_.Now();
+  crashGuard_.OnConnectionLost(aFingerprint, aServer, now);
+  const coordination::PromptCrash crash{ aFingerprint, aServer, aParts, now };
+  crashReports_.push_back(crash);
+  if (!aParts.empty()) {
+    promptCrashes_.push_back(crash);
+    if (promptCrashes_.size() > kMaxPromptCrashes) {
+      promptCrashes_.pop_front();
+    }
+  }
+  fleet_.SyncNow();
+}
+
+void
+Gateway::ReportCrashesAgain()
+{
+  const core::MonotonicTime now = clock_.Now();
+  crashReports_.clear();
+  for (const auto& broken : crashGuard_.SuspectCrashes(now)) {
+    crashReports_.push_back({ broken.fingerprint_, broken.server_, {}, now });
+  }
+  for (const coordination::PromptCrash& crash : promptCrashes_) {
+    if (now - crash.at_ < kPromptCrashLifetime) {
+      crashReports_.push_back(crash);
+    }
+  }
+  reportHeldParts_ = true;
+}
+
+void
+Gateway::RecordStarted(const std::vector<coordination::PromptPart>& aParts)
+{
+  ++starts_;
+  if (startedParts_.size() < kMaxStartedParts) {
+    startedParts_.insert(aParts.begin(), aParts.end());
+  }
+}
+
+bool
+Gateway::HoldsBack(const std::vector<coordination::PromptPart>& aParts) const
+{
+  return !heldParts_.empty() &&
+         std::ranges::any_of(aParts, [this](coordination::PromptPart aPart) {
+           return heldParts_.contains(aPart);
+         });
+}
+
+std::optional<core::MonotonicTime>
+Gateway::ExpectedReadyTime(const core::ModelName& aModel) const
+{
+  const auto coming =
+    expectedReady_.find(coordination::SplitModel(aModel).model_);
+  return coming == expectedReady_.end() ? std::nullopt
+                                        : std::optional(coming->second);
+}
+
+void
+Gateway::RecordCompleted(const core::Digest& aFingerprint)
+{
+  if (crashGuard_.CrashCount(aFingerprint, clock_.Now()) > 0) {
+    crashGuard_.OnCompleted(aFingerprint, clock_.Now());
+    completedReports_.push_back(ToWire(aFingerprint));
+  }
+}
+
+void
+Gateway::ApplySuspects(const wire::SyncReply& aReply)
+{
+  sentCrashReports_.clear();
+  std::set<coordination::PromptPart> held(aReply.heldParts.begin(),
+                                          aReply.heldParts.end());
+  const std::int64_t epoch =
+    aReply.crashEpoch != 0 ? aReply.crashEpoch : aReply.epoch;
+  if (std::exchange(crashEpoch_, epoch) != epoch) {
+    // A new leader has no record of what this host reported to the previous
+    // one, so that its own lists are not complete yet.
+    heldParts_.merge(held);
+    ReportCrashesAgain();
+    return;
+  }
+  std::vector<coordination::QuarantineEntry> entries;
+  for (const wire::Suspect& suspect : aReply.suspects) {
+    entries.push_back(
+      { FromWire(suspect.request),
+        static_cast<std::uint32_t>(std::max(0, suspect.servers)) });
+  }
+  crashGuard_.ReplaceQuarantine(entries);
+  reportHeldParts_ = false;
+  heldParts_ = std::move(held);
+}
+
+void
+Gateway::ApplyServerRows(const wire::SyncReply& aReply)
+{
+  if (aReply.complete) {
+    std::set<core::ServerId> listed;
+    for (const wire::ServerRow& row : aReply.rows) {
+      listed.insert(core::ServerId(row.server));
+    }
+    for (const core::ServerId& id : view_.Ids()) {
+      if (!listed.contains(id)) {
+        view_.Remove(id);
+        pool_.Drop(id);
+      }
+    }
+  }
+  epoch_ = aReply.epoch;
+  seenChange_ = aReply.seen;
+  for (const wire::ServerRow& row : aReply.rows) {
+    coordination::BackendRow out;
+    out.server_ = core::ServerId(row.server);
+    out.address_ = row.address;
+    out.service_ = coordination::ServiceName(row.serviceName);
+    out.failureDomain_ = core::FailureDomainId(row.failureDomain);
+    // Wire values: 0 ready, 1 leaving, 2 gone.
+    out.state_ = row.state == 0   ? coordination::BackendState::Ready
+                 : row.state == 1 ? coordination::BackendState::Leaving
+                                  : coordination::BackendState::Gone;
+    out.slots_ = static_cast<std::uint32_t>(std::max(0, row.slots));
+    out.memoryTokens_ =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(0, row.memoryTokens));
+    for (const std::string& model : row.models) {
+      out.models_.insert(core::ModelName(model));
+    }
+    SetLoad(out, row);
+    if (out.state_ == coordination::BackendState::Gone) {
+      pool_.Drop(out.server_);
+      view_.Remove(out.server_);
+      continue;
+    }
+    view_.Update(std::move(out));
+  }
+  for (const wire::ServerLoad& load : aReply.loads) {
+    coordination::BackendRow out;
+    out.server_ = core::ServerId(load.server);
+    out.loadOnly_ = true;
+    SetLoad(out, load);
+    view_.Update(std::move(out));
+  }
+  hasServerRows_ = hasServerRows_ || view_.Size() > 0;
+}
+
+} // namespace crocusslip::entry
