Close connections only by their readers, and all of them before a stop ends

Cause: the end of a stop was decided beside the readers. EndIdle closed a connection that was neither busy nor had bytes in its socket; but bytes may have been read already, with their handler still queued. The event loop was stopped while kept connections were open, and the process then waited up to a second for its other thread: what callers sent meanwhile was accepted by the kernel and never read.

Change: EndIdle cancels the wait for a request, and Read closes only if nothing has come. A stop ends once every connection is closed, or with the grace. A connection that was accepted a moment ago is spared until its first request.

Evidence: PlannedStopTest, ClosesKeptConnectionsBeforeItStopsReading failed before (the connection was open when the loop had stopped).

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -295,11 +295,14 @@
   transport::asio::steady_timer timer(loop_);
   co_await transport::Sleep(timer, kAcceptTimeAfterTerm);
   callerListener_->Stop();
-  for (const LinkPtr& link : callerLinks_) {
-    link->EndIdle();
-  }
-  while (HasUnfinishedCalls() && clock_.Now() < stopTime_) {
+  CloseIdleConnections();
+  // Nothing is read once the loop has stopped, so that all connections have to
+  // be closed before.
+  while (!callerLinks_.empty() && clock_.Now() < stopTime_) {
     co_await transport::Sleep(timer, kDrainPollInterval);
+    if (!HasUnfinishedCalls()) {
+      CloseIdleConnections();
+    }
   }
   core::Log(core::LogLevel::Info,
             "gateway stopped",
@@ -313,13 +316,21 @@
   loop_.stop();
 }
 
+void
+Gateway::CloseIdleConnections()
+{
+  for (const LinkPtr& link : callerLinks_) {
+    link->EndIdle();
+  }
+}
+
 // A call is active once its request has been read whole.
 bool
 Gateway::HasUnfinishedCalls() const
 {
   return activeCalls_ > 0 ||
          std::ranges::any_of(callerLinks_, [](const LinkPtr& aLink) {
-           return aLink->Busy() || aLink->HasUnread();
+           return aLink->Busy() || aLink->HasUnread() || aLink->IsNew();
          });
 }
 
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -93,7 +93,9 @@
                                          transport::ReadResult aResult);
   transport::Task<void> Housekeeping();
   transport::Task<void> StopAfterGrace();
-  /// Whether a request is being read, or its answer is not written yet.
+  void CloseIdleConnections();
+  /// Whether a request is expected or being read, or its answer is not written
+  /// yet.
   bool HasUnfinishedCalls() const;
   transport::LinkLimits Limits() const;
 
@@ -168,9 +170,9 @@
   std::vector<coordination::PromptCrash> sentCrashReports_;
   /// Crashes with parts of prompts, for a new leader; the oldest first.
   std::deque<coordination::PromptCrash> promptCrashes_;
-  /// Parts of prompts with a first event since the last report, and the number
-  /// of their requests.
-  std::set<coordination::PromptPart> startedParts_;
+  /// Parts of prompts with a first event since the last report, with the time
+  /// of the last one, and the number of their requests.
+  std::map<coordination::PromptPart, core::MonotonicTime> startedParts_;
   std::uint32_t starts_ = 0;
   std::set<coordination::PromptPart> heldParts_;
   /// Reports name heldParts_ until the leader, which is new, has replied.
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -4,6 +4,7 @@
 #include "support/GatewayFixture.hpp"
 
 #include <string>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace crocusslip;
@@ -64,12 +65,12 @@
 
 struct Fixture : GatewayFixture
 {
-  /// Sends one event at once and the end of the stream after aTime.
+  /// Answers streams with one event at once and their end after aTime.
   RequestHandler StreamFor(std::chrono::milliseconds aTime)
   {
     return [this, aTime](transport::CallerLink& aLink,
                          const HttpRequest& aRequest) -> Task<void> {
-      if (aRequest.target() != "/stream/a") {
+      if (aRequest.target() == "/safe/a") {
         co_await Respond(kSignedSuccess, "hello")(aLink, aRequest);
         co_return;
       }
@@ -134,6 +135,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_CASE(ClosesKeptConnectionsBeforeItStopsReading, Fixture)
+{
+  StartServer("s1", StreamFor(kIdleCloseTime + 200ms));
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  KeptConnection caller(loop_);
+  bool ended = false;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect(callerAddress_);
+    co_await caller.Send("/long/a");
+    co_await caller.ReadUntil("data: a");
+    gateway_->Drain();
+    co_await caller.ReadUntil("0\r\n\r\n");
+    ended = true;
+  });
+  RunUntil(ended);
+  const auto until = std::chrono::steady_clock::now() + kTestTimeout;
+  while (!loop_.stopped() && std::chrono::steady_clock::now() < until) {
+    loop_.run_for(10ms);
+  }
+  BOOST_REQUIRE(loop_.stopped());
+  char byte = 0;
+  BOOST_TEST(::recv(caller.socket_.native_handle(), &byte, 1, MSG_DONTWAIT) ==
+             0);
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusesALateRequestThatItMightCut, Fixture)
 {
   StartServer("s1", Respond(kSignedSuccess, "hello"));
@@ -192,4 +218,40 @@
   BOOST_TEST(answer.starts_with("HTTP/1.1 "));
 }
 
+BOOST_FIXTURE_TEST_CASE(KeepsAConnectionWhoseRequestIsReadButNotHandled,
+                        Fixture)
+{
+  std::shared_ptr<transport::CallerLink> link;
+  const std::string address = "127.0.0.1:" + std::to_string(tests::FreePort());
+  transport::LinkListener listener(
+    loop_, address, [&](transport::Tcp::socket aSocket) {
+      link = std::make_shared<transport::CallerLink>(std::move(aSocket),
+                                                     transport::LinkLimits{});
+    });
+  BOOST_REQUIRE(listener.Start().Ok());
+  KeptConnection caller(loop_);
+  bool sent = false;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect(address);
+    co_await caller.Send("/safe/a");
+    sent = true;
+  });
+  RunUntil(sent);
+  loop_.run_for(300ms);
+  BOOST_REQUIRE(link);
+  bool done = false;
+  bool written = false;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    HttpRequest request;
+    co_await link->Read(request, transport::LinkLimits{});
+    written = co_await link->WriteRaw("HTTP/1.1 200 OK\r\n\r\n");
+    done = true;
+  });
+  // Starts the read, which takes the bytes and queues its handler.
+  loop_.poll_one();
+  link->EndIdle();
+  RunUntil(done);
+  BOOST_TEST(written);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -141,14 +141,15 @@
 inline coordination::Route
 MakeRoute(const std::string& aPrefix,
           coordination::RequestKind aKind,
-          const std::string& aService = "desk")
+          const std::string& aService = "desk",
+          std::chrono::milliseconds aTimeout = 3s)
 {
   coordination::Route route;
   route.name_ = aPrefix;
   route.host_ = "h.example";
   route.prefix_ = aPrefix;
   route.kind_ = aKind;
-  route.timeout_ = 3s;
+  route.timeout_ = aTimeout;
   route.latencyTarget_ = 100ms;
   route.callerIdleTimeout_ = 2s;
   route.services_ = { { coordination::ServiceName(aService), 1 } };
@@ -205,6 +206,7 @@
         { MakeRoute("/safe/", RequestKind::Idempotent),
           MakeRoute("/once/", RequestKind::AtMostOnce),
           MakeRoute("/stream/", RequestKind::Stream),
+          MakeRoute("/long/", RequestKind::Stream, "desk", 6s),
           MakeRoute("/model/", RequestKind::Stream, "llm") },
         { { coordination::ServiceName("desk"),
             { coordination::ServiceName("desk"), 9, std::nullopt } },
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds kAcceptPause{ 50 };
 /// Unacknowledged data older than this ends a connection.
 constexpr int kUserTimeoutMs = 5000;
+/// Time in which a request is expected on a new connection.
+constexpr std::chrono::milliseconds kFirstRequestTime{ 200 };
 /// Time in which a closing peer may take the last bytes.
 constexpr std::chrono::milliseconds kLinger{ 500 };
 
@@ -96,12 +98,16 @@
   limits_ = aLimits;
   buffer_.max_size(kReadAheadBytes + limits_.headerBytes_);
   boost::system::error_code error;
-  if (buffer_.size() == 0) {
+  while (buffer_.size() == 0) {
     stream_.expires_after(first_ ? limits_.headerTime_ : limits_.idleTime_);
+    idle_ = true;
     const std::size_t got = co_await stream_.async_read_some(
       buffer_.prepare(kReadBytes), Catch(error));
+    idle_ = false;
     buffer_.commit(got);
-    if (error) {
+    // Bytes may have arrived after the wait was cancelled.
+    const bool again = error == asio::error::operation_aborted && HasUnread();
+    if (error && got == 0 && !again) {
       co_return ReadResult::Closed;
     }
   }
@@ -247,11 +253,21 @@
   return stream_.socket().is_open() && Peek(stream_.socket()).value_or(0) > 0;
 }
 
+bool
+CallerLink::IsNew() const
+{
+  return first_ &&
+         std::chrono::steady_clock::now() - acceptedAt_ < kFirstRequestTime;
+}
+
 void
 CallerLink::EndIdle()
 {
-  if (!busy_ && !HasUnread()) {
-    Close();
+  // The bytes of a request may be read already, with their handler not run yet.
+  // Only the reader can tell.
+  if (idle_ && !IsNew()) {
+    boost::system::error_code ignored;
+    stream_.socket().cancel(ignored);
   }
 }
 
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -81,7 +81,10 @@
   Task<std::size_t> Finish();
   /// Bytes have arrived that were not read yet.
   bool HasUnread();
-  /// Ends a wait for the next request, unless one has begun to arrive.
+  /// Accepted a moment ago; its first request may be on its way.
+  bool IsNew() const;
+  /// Ends a wait for the next request, unless one has begun to arrive or the
+  /// connection is new: Read then returns Closed.
   void EndIdle();
 
 private:
@@ -90,6 +93,10 @@
   LinkLimits limits_;
   bool busy_ = false;
   bool first_ = true;
+  /// Waits for the first bytes of a request.
+  bool idle_ = false;
+  const std::chrono::steady_clock::time_point acceptedAt_ =
+    std::chrono::steady_clock::now();
 };
 
 /// Head of a backend server's answer.
