Refuse requests that wait for routes when a stop ends their time

Cause: a request that waits for the first routing table did so for up to 1.5 s whatever the stop of its host; the end of the grace cut it, neither answered nor refused. Change: the wait ends with the time in which a stopping host assigns slots. Found by the review; no case of its own.

--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -208,8 +208,11 @@
     limit =
       std::min<core::Duration>(limit, std::chrono::milliseconds(*left / 3));
   }
-  while (!routes_ && !callerGone_ &&
-         gateway_.clock_.Now() < arrivedAt_ + limit) {
+  core::MonotonicTime until = arrivedAt_ + limit;
+  while (!routes_ && !callerGone_ && gateway_.clock_.Now() < until) {
+    if (gateway_.draining_) {
+      until = std::min(until, gateway_.drainSlotDeadline_);
+    }
     co_await transport::Sleep(timer_, kRoutesPollInterval);
     routes_ = gateway_.routes_;
   }
