Count a crash once that is reported again

Cause: a report without a reply is sent again, and CrashGuard took each report for a crash at its arrival: one crash resent for 5 s counted three times and quarantined its request (shown by the review with a program of its own).

--- a/coordination/CrashGuard.cpp
+++ b/coordination/CrashGuard.cpp
@@ -200,10 +200,12 @@
     suspect.crashes_.clear();
   }
   suspect.completedSinceCrash_ = false;
-  suspect.lastCrash_ = aNow;
+  // A report may be late.
+  suspect.lastCrash_ = std::max(suspect.lastCrash_, aNow);
   const auto same = [&](const Crash& aCrash) {
     return aCrash.server_ == aServer &&
-           aNow - aCrash.at_ < settings_.sameCrashWindow_;
+           std::max(aNow, aCrash.at_) - std::min(aNow, aCrash.at_) <
+             settings_.sameCrashWindow_;
   };
   if (std::ranges::none_of(suspect.crashes_, same)) {
     suspect.crashes_.push_back({ aServer, aNow });
