Judge parts of prompts by what is known of all hosts

Crashes from before a later start counted against a part; one crash reported three times with jitter held a part back; crashes reported newest first counted once; a settle time of 0.3 s was shorter than the 0.6 s between two reports of a host; one server that crashes was enough; a part that had begun could be taken over from an earlier leader.

Change: crashes before the last known start of a part don't count, nor do those that are nearly at the time of another; two different servers are needed; the settle time is 1 s from the moment at which the leader knows of the third crash, and starts of the same message come before it. What is kept of a suspect is bounded.

Evidence: PromptGuardTest, six new cases.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -31,6 +31,12 @@
 /// Servers lost by one request from which all hosts are told of it.
 constexpr std::uint32_t kToldServersLost = 2;
 
+core::MonotonicTime
+CrashTime(const wire::Crash& aCrash, core::MonotonicTime aNow)
+{
+  return aNow - std::chrono::milliseconds(std::max(0, aCrash.ageMs));
+}
+
 } // namespace
 
 FleetController::FleetController(transport::asio::io_context& aLoop,
@@ -371,7 +377,8 @@
 {
   for (const wire::Crash& crash : aRequest.crashes) {
     const core::Digest request = protocol::FromWire(crash.request);
-    guard_.OnConnectionLost(request, core::ServerId(crash.server), aNow);
+    guard_.OnConnectionLost(
+      request, core::ServerId(crash.server), CrashTime(crash, aNow));
     const std::uint32_t lost = guard_.CrashCount(request, aNow);
     if (lost >= kToldServersLost) {
       core::Log(core::LogLevel::Warning,
@@ -393,16 +400,17 @@
   const auto partsOf = [](const std::vector<std::int64_t>& aParts) {
     return std::vector<coordination::PromptPart>(aParts.begin(), aParts.end());
   };
-  for (const wire::Crash& crash : aRequest.crashes) {
-    promptGuard_.OnCrash(
-      { protocol::FromWire(crash.request),
-        core::ServerId(crash.server),
-        partsOf(crash.parts),
-        aNow - std::chrono::milliseconds(std::max(0, crash.ageMs)) });
-  }
   promptGuard_.OnStarted(
     partsOf(aRequest.startedParts),
-    static_cast<std::uint32_t>(std::max(0, aRequest.starts)));
+    static_cast<std::uint32_t>(std::max(0, aRequest.starts)),
+    aNow);
+  for (const wire::Crash& crash : aRequest.crashes) {
+    promptGuard_.OnCrash({ protocol::FromWire(crash.request),
+                           core::ServerId(crash.server),
+                           partsOf(crash.parts),
+                           CrashTime(crash, aNow) },
+                         aNow);
+  }
   promptGuard_.Adopt(partsOf(aRequest.heldParts), aNow);
   for (const coordination::PromptPart part : promptGuard_.Decide(aNow)) {
     core::Log(core::LogLevel::Warning,
--- a/coordination/PromptGuard.cpp
+++ b/coordination/PromptGuard.cpp
@@ -4,19 +4,27 @@
 
 namespace crocusslip::coordination {
 
+namespace {
+
+/// Most parts of a prompt that are looked at.
+constexpr std::size_t kMaxParts = 64;
+
+} // namespace
+
 std::vector<PromptPart>
 SharedPartsOf(std::string_view aPrompt)
 {
   std::vector<PromptPart> parts;
-  while (true) {
+  while (parts.size() < kMaxParts) {
     const auto comma = aPrompt.find(',');
     if (comma == std::string_view::npos) {
-      return parts;
+      break;
     }
     const std::string_view part = aPrompt.substr(0, comma);
     parts.push_back(core::Hash64(part.substr(0, part.find(':'))));
     aPrompt.remove_prefix(comma + 1);
   }
+  return parts;
 }
 
 PromptGuard::PromptGuard(PromptGuardSettings aSettings)
@@ -25,25 +33,39 @@
 }
 
 void
-PromptGuard::OnCrash(const PromptCrash& aCrash)
+PromptGuard::OnCrash(const PromptCrash& aCrash, core::MonotonicTime aNow)
 {
   for (const PromptPart part : aCrash.parts_) {
     if (const auto held = held_.find(part); held != held_.end()) {
       held->second = std::max(held->second, aCrash.at_);
       continue;
     }
+    const auto start = lastStarts_.find(part);
+    if (start != lastStarts_.end() && start->second >= aCrash.at_) {
+      continue;
+    }
     if (!suspects_.contains(part) && suspects_.size() >= settings_.maxParts_) {
       DropOldestSuspect();
     }
     Suspect& suspect = suspects_[part];
-    suspect.requests_.insert(aCrash.request_);
-    if (suspect.crashes_ > 0 &&
-        aCrash.at_ - suspect.lastCrash_ < settings_.crashInterval_) {
+    suspect.lastCrash_ = std::max(suspect.lastCrash_, aCrash.at_);
+    if (suspect.requests_.size() < settings_.minRequests_) {
+      suspect.requests_.insert(aCrash.request_);
+    }
+    if (suspect.servers_.size() < settings_.minServers_) {
+      suspect.servers_.insert(aCrash.server_);
+    }
+    const bool counted =
+      std::ranges::any_of(suspect.crashes_, [&](core::MonotonicTime aAt) {
+        return std::max(aAt, aCrash.at_) - std::min(aAt, aCrash.at_) <
+               settings_.crashInterval_;
+      });
+    if (counted || suspect.crashes_.size() >= settings_.minCrashes_) {
       continue;
     }
-    suspect.lastCrash_ = aCrash.at_;
-    if (++suspect.crashes_ == settings_.minCrashes_) {
-      suspect.limitReachedAt_ = aCrash.at_;
+    suspect.crashes_.push_back(aCrash.at_);
+    if (suspect.crashes_.size() == settings_.minCrashes_) {
+      suspect.limitReachedAt_ = aNow;
       suspect.startsBefore_ = starts_;
     }
   }
@@ -51,12 +73,28 @@
 
 void
 PromptGuard::OnStarted(std::span<const PromptPart> aParts,
-                       std::uint32_t aRequests)
+                       std::uint32_t aRequests,
+                       core::MonotonicTime aNow)
 {
   starts_ += aRequests;
   for (const PromptPart part : aParts) {
     suspects_.erase(part);
     held_.erase(part);
+    RecordStart(part, aNow);
+  }
+}
+
+void
+PromptGuard::RecordStart(PromptPart aPart, core::MonotonicTime aNow)
+{
+  if (lastStarts_.size() >= settings_.maxParts_ &&
+      !lastStarts_.contains(aPart)) {
+    std::erase_if(lastStarts_, [&](const auto& aItem) {
+      return aNow - aItem.second >= settings_.evidenceLifetime_;
+    });
+  }
+  if (lastStarts_.size() < settings_.maxParts_ || lastStarts_.contains(aPart)) {
+    lastStarts_[aPart] = aNow;
   }
 }
 
@@ -64,6 +102,9 @@
 PromptGuard::Adopt(std::span<const PromptPart> aParts, core::MonotonicTime aNow)
 {
   for (const PromptPart part : aParts) {
+    if (lastStarts_.contains(part)) {
+      continue;
+    }
     if (held_.size() < settings_.maxParts_) {
       held_.try_emplace(part, aNow);
     }
@@ -74,8 +115,9 @@
 bool
 PromptGuard::IsCause(const Suspect& aSuspect, core::MonotonicTime aNow) const
 {
-  return aSuspect.crashes_ >= settings_.minCrashes_ &&
+  return aSuspect.crashes_.size() >= settings_.minCrashes_ &&
          aSuspect.requests_.size() >= settings_.minRequests_ &&
+         aSuspect.servers_.size() >= settings_.minServers_ &&
          aNow - aSuspect.limitReachedAt_ >= settings_.settleTime_ &&
          starts_ - aSuspect.startsBefore_ >= settings_.minOtherStarts_;
 }
--- a/coordination/PromptGuard.hpp
+++ b/coordination/PromptGuard.hpp
@@ -5,10 +5,10 @@
 #include "core/Ids.hpp"
 
 #include <cstdint>
+#include <set>
 #include <span>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace crocusslip::coordination {
@@ -27,13 +27,15 @@
   /// requests lost in them, after which a part is held back.
   std::uint32_t minCrashes_ = 3;
   std::uint32_t minRequests_ = 2;
+  std::uint32_t minServers_ = 2;
   /// Crashes closer together may have a common cause other than a request.
   core::Duration crashInterval_ = std::chrono::milliseconds(100);
   /// Requests without the part that must have begun since minCrashes_ was
   /// reached, and the time that must have passed: a sound part is expected to
   /// begin in the meantime.
   std::uint32_t minOtherStarts_ = 20;
-  core::Duration settleTime_ = std::chrono::milliseconds(300);
+  /// Longer than the time between two reports of a host.
+  core::Duration settleTime_ = std::chrono::seconds(1);
   /// Crashes longer ago than this don't count.
   core::Duration evidenceLifetime_ = std::chrono::minutes(1);
   /// A part is held back for this time after its last crash.
@@ -65,11 +67,15 @@
 public:
   explicit PromptGuard(PromptGuardSettings aSettings);
 
-  void OnCrash(const PromptCrash& aCrash);
+  /// A crash may be reported late and more than once.
+  void OnCrash(const PromptCrash& aCrash, core::MonotonicTime aNow);
   /// Requests with these parts began to be answered. Also releases a part that
   /// is held back.
-  void OnStarted(std::span<const PromptPart> aParts, std::uint32_t aRequests);
-  /// Holds back parts that an earlier leader held back.
+  void OnStarted(std::span<const PromptPart> aParts,
+                 std::uint32_t aRequests,
+                 core::MonotonicTime aNow);
+  /// Holds back parts that an earlier leader held back, unless a request with
+  /// them has begun since.
   void Adopt(std::span<const PromptPart> aParts, core::MonotonicTime aNow);
   /// Moves parts with enough evidence to those held back, and forgets what is
   /// too old. Returns the parts that are held back since this call.
@@ -83,16 +89,20 @@
 private:
   struct Suspect
   {
-    std::uint32_t crashes_ = 0;
+    /// Crashes that are crashInterval_ apart; at most minCrashes_.
+    std::vector<core::MonotonicTime> crashes_;
     core::MonotonicTime lastCrash_;
-    /// Time of the crash that reached minCrashes_, and starts_ at that time.
+    /// When minCrashes_ was reached, and starts_ at that time.
     core::MonotonicTime limitReachedAt_;
     std::uint64_t startsBefore_ = 0;
-    std::unordered_set<core::Digest> requests_;
+    /// At most minRequests_ and minServers_.
+    std::set<core::Digest> requests_;
+    std::set<core::ServerId> servers_;
   };
 
   bool IsCause(const Suspect& aSuspect, core::MonotonicTime aNow) const;
   void DropOldestSuspect();
+  void RecordStart(PromptPart aPart, core::MonotonicTime aNow);
 
   PromptGuardSettings settings_;
   std::unordered_map<PromptPart, Suspect> suspects_;
@@ -100,6 +110,8 @@
   std::unordered_map<PromptPart, core::MonotonicTime> held_;
   /// Requests that have begun to be answered.
   std::uint64_t starts_ = 0;
+  /// When a request with the part was last reported to have begun.
+  std::unordered_map<PromptPart, core::MonotonicTime> lastStarts_;
 };
 
 } // namespace crocusslip::coordination
--- a/tests/GroupHostTest.cpp
+++ b/tests/GroupHostTest.cpp
@@ -271,7 +271,8 @@
   wire::SyncRequest others;
   others.host = "e2";
   others.starts = 20;
-  BOOST_TEST(sync(others).heldParts == std::vector{ kPart });
+  BOOST_TEST(
+    Await([&] { return sync(others).heldParts == std::vector{ kPart }; }));
   others.startedParts = { kPart };
   BOOST_TEST(sync(others).heldParts.empty());
 }
--- a/tests/PromptGuardTest.cpp
+++ b/tests/PromptGuardTest.cpp
@@ -26,7 +26,8 @@
     guard_.OnCrash({ { requests_, requests_ },
                      core::ServerId("s" + std::to_string(requests_)),
                      std::move(aParts),
-                     now_ });
+                     now_ },
+                   now_);
   }
   /// Crashes of different servers, a second apart.
   void Crashes(int aCount, const std::vector<PromptPart>& aParts)
@@ -38,11 +39,11 @@
   }
   void OthersStart(std::uint32_t aRequests = 20)
   {
-    guard_.OnStarted({}, aRequests);
+    guard_.OnStarted({}, aRequests, now_);
   }
   void Start(PromptPart aPart)
   {
-    guard_.OnStarted(std::vector<PromptPart>{ aPart }, 1);
+    guard_.OnStarted(std::vector<PromptPart>{ aPart }, 1, now_);
   }
 };
 
@@ -124,13 +125,92 @@
 {
   for (int i = 0; i < 10; ++i) {
     guard_.OnCrash(
-      { { 7, 7 }, core::ServerId("s" + std::to_string(i)), { kShared }, now_ });
+      { { 7, 7 }, core::ServerId("s" + std::to_string(i)), { kShared }, now_ },
+      now_);
     now_ += 1s;
   }
   OthersStart();
   BOOST_TEST(guard_.Decide(now_).empty());
 }
 
+BOOST_AUTO_TEST_CASE(IsNotHeldForCrashesOfOneServer)
+{
+  for (std::uint64_t i = 1; i <= 10; ++i) {
+    guard_.OnCrash({ { i, i }, core::ServerId("s1"), { kShared }, now_ }, now_);
+    now_ += 1s;
+  }
+  OthersStart();
+  now_ += 1s;
+  BOOST_TEST(guard_.Decide(now_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotHeldForOneCrashThatIsReportedAgain)
+{
+  const core::MonotonicTime at = now_;
+  for (int i = 0; i < 5; ++i) {
+    // The age of a report does not count the time of its call.
+    guard_.OnCrash({ { 1, 1 }, core::ServerId("s1"), { kShared }, at }, now_);
+    guard_.OnCrash(
+      { { 2, 2 }, core::ServerId("s2"), { kShared }, at + i * 5ms }, now_);
+    now_ += 1s;
+  }
+  OthersStart();
+  now_ += 1s;
+  BOOST_TEST(guard_.Decide(now_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotHeldForLateReportsOfCrashesBeforeItBegan)
+{
+  const core::MonotonicTime before = now_;
+  now_ += 8s;
+  Start(kShared);
+  now_ += 1s;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    guard_.OnCrash({ { i, i },
+                     core::ServerId("s" + std::to_string(i)),
+                     { kShared },
+                     before + i * 1s },
+                   now_);
+  }
+  OthersStart();
+  now_ += 2s;
+  BOOST_TEST(guard_.Decide(now_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsHeldWhenItsCrashesAreReportedNewestFirst)
+{
+  const core::MonotonicTime newest = now_;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    guard_.OnCrash({ { i, i },
+                     core::ServerId("s" + std::to_string(i)),
+                     { kDeadly },
+                     newest - i * 1s },
+                   now_);
+  }
+  OthersStart();
+  now_ += 1s;
+  BOOST_TEST(guard_.Decide(now_) == std::vector{ kDeadly });
+}
+
+BOOST_AUTO_TEST_CASE(IsNotHeldBeforeAllHostsHaveReported)
+{
+  Crashes(3, { kShared });
+  OthersStart();
+  now_ -= 400ms;
+  BOOST_TEST(guard_.Decide(now_).empty());
+  Start(kShared);
+  now_ += 1s;
+  BOOST_TEST(guard_.Decide(now_).empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotTakenFromAnEarlierLeaderOnceItHasBegun)
+{
+  const std::vector<PromptPart> held = { kShared };
+  Start(kShared);
+  guard_.Adopt(held, now_);
+  BOOST_TEST(guard_.Held().empty());
+}
+
 BOOST_AUTO_TEST_CASE(IsReleasedWhenItBeginsAfterAll)
 {
   Crashes(3, { kDeadly });
