Report parts of prompts only for crashes before the first event of a stream

Cause, found by the review: a deadline that passed as an answer was awaited counted as a broken connection, as did a stream that ran to its deadline; a stream resumed after events of another server named its parts, which had begun; parts of requests that are no streams never counted as begun. Starts that a frozen host reports late may be from before a part became deadly. A part that came to be held back while a connection was being opened was still sent. A restarted host dropped the suspects of its first reply.

Change: each of these; reports are bounded to 256 crashes. A resumed stream with nothing left that ends with its connection is complete, as it was. PromptPartsTest, GatewayTest and ServerTroubleTest pass.

--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -234,9 +234,12 @@
     if (events.LastId()) {
       lastEvent_ = events.LastId();
     }
+    begun_ = begun_ || events.HasBegun();
     // A close before the first event is more likely a crash than an answer.
-    const bool unbegun = !events.HasBegun() && aServer.EndsWithConnection();
-    complete = part->empty() && events.Pending().empty() && !unbegun;
+    const bool closedBeforeFirstEvent =
+      !events.HasBegun() && !lastEvent_ && aServer.EndsWithConnection();
+    complete =
+      part->empty() && events.Pending().empty() && !closedBeforeFirstEvent;
     if (!streaming_ && (complete || !wholeEvents.empty()) &&
         !co_await WriteStreamHead(aHead)) {
       callerGone_ = true;
@@ -279,7 +282,7 @@
     keepAlive_ = co_await link_->WriteRaw("0\r\n\r\n") && keepAlive_;
     co_return AttemptResult::Done;
   }
-  silent = silent || aServer.TimedOut();
+  silent = silent || aServer.TimedOut() || TimeLeft() <= core::Duration(0);
   aServer.Abort();
   requirements_.tried_.insert(choice_.server_);
   core::Log(
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -182,7 +182,9 @@
     requirements_.tokens_ = TokensOf(tokens);
     requirements_.promptTokens_ = TokensOf(tokens.substr(0, tokens.find(',')));
     requirements_.longestPause_ = route_->longestPause_;
-    parts_ = coordination::SharedPartsOf(header(names.promptParts_));
+    if (route_->kind_ == RequestKind::Stream) {
+      parts_ = coordination::SharedPartsOf(header(names.promptParts_));
+    }
     const auto parts = coordination::SplitModel(requirements_.model_);
     if (!requirements_.model_.Empty() &&
         !service->engine_->models_.contains(parts.model_)) {
@@ -458,6 +460,11 @@
     Finish(callerGone_ ? SendOutcome::Neutral : SendOutcome::Unreachable);
     co_return AttemptResult::RetryUnsent;
   }
+  if (HeldBack()) {
+    Finish(SendOutcome::Neutral);
+    link->Abort();
+    co_return AttemptResult::RetryUnsent;
+  }
   auto& models = gateway_.models_;
   const core::ModelName model = requirements_.model_;
   if (!model.Empty()) {
@@ -517,7 +524,8 @@
     Finish(SendOutcome::Neutral);
     co_return AttemptResult::Done;
   }
-  const bool timedOut = silent || aServer.TimedOut();
+  const bool timedOut =
+    silent || aServer.TimedOut() || TimeLeft() <= core::Duration(0);
   if (!timedOut) {
     RecordBrokenConnection();
   }
@@ -539,7 +547,7 @@
   gateway_.RecordBrokenConnection(
     fingerprint_,
     choice_.server_,
-    awaitingFirstEvent_ ? parts_ : std::vector<coordination::PromptPart>());
+    begun_ ? std::vector<coordination::PromptPart>() : parts_);
 }
 
 void
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -159,6 +159,8 @@
   core::MonotonicTime sentAt_;
   /// The current attempt has not delivered its first event yet.
   bool awaitingFirstEvent_ = false;
+  /// A server has sent an event of the answer, in this attempt or before.
+  bool begun_ = false;
   /// A server's answer was received whole and is passed on to the caller.
   bool completed_ = false;
   core::Duration queueTime_{ 0 };
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -16,11 +16,16 @@
 using protocol::FromWire;
 using protocol::ToWire;
 
+/// Crashes in one report; older ones are dropped.
+constexpr std::ptrdiff_t kMaxCrashReports = 256;
 /// Crashes with parts of prompts that are reported again to a new leader.
 constexpr std::size_t kMaxPromptCrashes = 64;
 constexpr std::chrono::seconds kPromptCrashLifetime{ 60 };
 /// Parts of prompts in one report.
 constexpr std::size_t kMaxStartedParts = 1024;
+/// A first event longer ago is not reported: it may be from before the part
+/// began to crash servers.
+constexpr std::chrono::milliseconds kMaxStartAge{ 1500 };
 
 std::vector<std::int64_t>
 ToWireParts(const auto& aParts)
@@ -119,6 +124,10 @@
   sentCrashReports_.insert(
     sentCrashReports_.end(), crashReports_.begin(), crashReports_.end());
   crashReports_.clear();
+  if (std::ssize(sentCrashReports_) > kMaxCrashReports) {
+    sentCrashReports_.erase(sentCrashReports_.begin(),
+                            sentCrashReports_.end() - kMaxCrashReports);
+  }
   for (const coordination::PromptCrash& crash : sentCrashReports_) {
     wire::Crash& out = request.crashes.emplace_back();
     out.request = ToWire(crash.request_);
@@ -128,8 +137,15 @@
       static_cast<std::int32_t>(core::Milliseconds(clock_.Now() - crash.at_));
   }
   request.completed = std::exchange(completedReports_, {});
-  request.startedParts = ToWireParts(std::exchange(startedParts_, {}));
-  request.starts = static_cast<std::int32_t>(std::exchange(starts_, 0));
+  bool late = false;
+  for (const auto& [part, at] : std::exchange(startedParts_, {})) {
+    late = late || clock_.Now() - at > kMaxStartAge;
+    if (clock_.Now() - at <= kMaxStartAge) {
+      request.startedParts.push_back(static_cast<std::int64_t>(part));
+    }
+  }
+  const std::uint32_t starts = std::exchange(starts_, 0);
+  request.starts = late ? 0 : static_cast<std::int32_t>(starts);
   if (reportHeldParts_) {
     request.heldParts = ToWireParts(heldParts_);
   }
@@ -205,6 +221,9 @@
   const core::MonotonicTime now = clock_.Now();
   crashGuard_.OnConnectionLost(aFingerprint, aServer, now);
   const coordination::PromptCrash crash{ aFingerprint, aServer, aParts, now };
+  if (std::ssize(crashReports_) >= kMaxCrashReports) {
+    crashReports_.erase(crashReports_.begin());
+  }
   crashReports_.push_back(crash);
   if (!aParts.empty()) {
     promptCrashes_.push_back(crash);
@@ -235,8 +254,11 @@
 Gateway::RecordStarted(const std::vector<coordination::PromptPart>& aParts)
 {
   ++starts_;
-  if (startedParts_.size() < kMaxStartedParts) {
-    startedParts_.insert(aParts.begin(), aParts.end());
+  const core::MonotonicTime now = clock_.Now();
+  for (const coordination::PromptPart part : aParts) {
+    if (startedParts_.size() < kMaxStartedParts) {
+      startedParts_[part] = now;
+    }
   }
 }
 
@@ -271,23 +293,24 @@
 Gateway::ApplySuspects(const wire::SyncReply& aReply)
 {
   sentCrashReports_.clear();
+  std::vector<coordination::QuarantineEntry> entries;
+  for (const wire::Suspect& suspect : aReply.suspects) {
+    entries.push_back(
+      { FromWire(suspect.request),
+        static_cast<std::uint32_t>(std::max(0, suspect.servers)) });
+  }
   std::set<coordination::PromptPart> held(aReply.heldParts.begin(),
                                           aReply.heldParts.end());
   const std::int64_t epoch =
     aReply.crashEpoch != 0 ? aReply.crashEpoch : aReply.epoch;
   if (std::exchange(crashEpoch_, epoch) != epoch) {
     // A new leader has no record of what this host reported to the previous
-    // one, so that its own lists are not complete yet.
+    // one, so that its lists may not be complete yet.
+    crashGuard_.OnQuarantine(entries);
     heldParts_.merge(held);
     ReportCrashesAgain();
     return;
   }
-  std::vector<coordination::QuarantineEntry> entries;
-  for (const wire::Suspect& suspect : aReply.suspects) {
-    entries.push_back(
-      { FromWire(suspect.request),
-        static_cast<std::uint32_t>(std::max(0, suspect.servers)) });
-  }
   crashGuard_.ReplaceQuarantine(entries);
   reportHeldParts_ = false;
   heldParts_ = std::move(held);
