Hold back a part after fewer starts of others when it has crashed more servers

Cause: the part was held back only once 20 other requests had begun since the third crash. With every server crashing in turn hardly any begins. Change: crashes and starts count together. The chance that a sound part is in all of c crashes and in none of n starts is at most (c/(c+n))^c (n/(c+n))^n, whatever its share of the requests; a part is held back at 1 in 2,000: 13 starts after three crashes, six after six. With a start or two nothing is held back, as when a whole service is down. PromptGuardTest, IsHeldAfterMoreCrashesWhenFewServersAreLeft and IsNotHeldWhileHardlyAnythingBegins.

--- a/coordination/PromptGuard.cpp
+++ b/coordination/PromptGuard.cpp
@@ -1,6 +1,7 @@
 #include "coordination/PromptGuard.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocusslip::coordination {
 
@@ -8,6 +9,8 @@
 
 /// Most parts of a prompt that are looked at.
 constexpr std::size_t kMaxParts = 64;
+/// Most crashes that are counted for a part.
+constexpr std::size_t kMaxCrashes = 64;
 
 } // namespace
 
@@ -60,13 +63,15 @@
         return std::max(aAt, aCrash.at_) - std::min(aAt, aCrash.at_) <
                settings_.crashInterval_;
       });
-    if (counted || suspect.crashes_.size() >= settings_.minCrashes_) {
+    if (counted || suspect.crashes_.size() >= kMaxCrashes) {
       continue;
     }
     suspect.crashes_.push_back(aCrash.at_);
+    if (suspect.crashes_.size() == 1) {
+      suspect.startsBefore_ = starts_;
+    }
     if (suspect.crashes_.size() == settings_.minCrashes_) {
       suspect.limitReachedAt_ = aNow;
-      suspect.startsBefore_ = starts_;
     }
   }
 }
@@ -115,11 +120,17 @@
 bool
 PromptGuard::IsCause(const Suspect& aSuspect, core::MonotonicTime aNow) const
 {
-  return aSuspect.crashes_.size() >= settings_.minCrashes_ &&
-         aSuspect.requests_.size() >= settings_.minRequests_ &&
-         aSuspect.servers_.size() >= settings_.minServers_ &&
-         aNow - aSuspect.limitReachedAt_ >= settings_.settleTime_ &&
-         starts_ - aSuspect.startsBefore_ >= settings_.minOtherStarts_;
+  if (aSuspect.crashes_.size() < settings_.minCrashes_ ||
+      aSuspect.requests_.size() < settings_.minRequests_ ||
+      aSuspect.servers_.size() < settings_.minServers_ ||
+      aNow - aSuspect.limitReachedAt_ < settings_.settleTime_) {
+    return false;
+  }
+  const auto crashes = static_cast<double>(aSuspect.crashes_.size());
+  const auto starts = static_cast<double>(starts_ - aSuspect.startsBefore_);
+  const double share = crashes / (crashes + starts);
+  return std::pow(share, crashes) * std::pow(1 - share, starts) <=
+         settings_.maxChance_;
 }
 
 std::vector<PromptPart>
--- a/coordination/PromptGuard.hpp
+++ b/coordination/PromptGuard.hpp
@@ -30,11 +30,10 @@
   std::uint32_t minServers_ = 2;
   /// Crashes closer together may have a common cause other than a request.
   core::Duration crashInterval_ = std::chrono::milliseconds(100);
-  /// Requests without the part that must have begun since minCrashes_ was
-  /// reached, and the time that must have passed: a sound part is expected to
-  /// begin in the meantime.
-  std::uint32_t minOtherStarts_ = 20;
-  /// Longer than the time between two reports of a host.
+  /// Greatest accepted chance that a sound part looks the same, see IsCause.
+  double maxChance_ = 5e-4;
+  /// Time that must have passed since minCrashes_ was reached. Longer than the
+  /// time between two reports of a host.
   core::Duration settleTime_ = std::chrono::seconds(1);
   /// Crashes longer ago than this don't count.
   core::Duration evidenceLifetime_ = std::chrono::minutes(1);
@@ -60,8 +59,8 @@
 /// them. A part that is the cause never begins to be answered anywhere, while a
 /// sound part soon does at another server, which discards what was counted
 /// against it. A part is therefore held back after several crashes at different
-/// times, with different requests, once other requests have begun since and
-/// none with this part.
+/// times, with different requests, once enough other requests have begun since
+/// and none with this part.
 class PromptGuard
 {
 public:
@@ -89,17 +88,22 @@
 private:
   struct Suspect
   {
-    /// Crashes that are crashInterval_ apart; at most minCrashes_.
+    /// Crashes that are crashInterval_ apart.
     std::vector<core::MonotonicTime> crashes_;
     core::MonotonicTime lastCrash_;
-    /// When minCrashes_ was reached, and starts_ at that time.
+    /// When minCrashes_ was reached.
     core::MonotonicTime limitReachedAt_;
+    /// starts_ at the first crash.
     std::uint64_t startsBefore_ = 0;
     /// At most minRequests_ and minServers_.
     std::set<core::Digest> requests_;
     std::set<core::ServerId> servers_;
   };
 
+  /// A sound part that a share s of all requests have is in each of c crashes
+  /// and in none of n starts with a chance of s^c (1-s)^n. The part is taken
+  /// for the cause when this is small for each s, so also for the worst,
+  /// c / (c + n).
   bool IsCause(const Suspect& aSuspect, core::MonotonicTime aNow) const;
   void DropOldestSuspect();
   void RecordStart(PromptPart aPart, core::MonotonicTime aNow);
--- a/tests/PromptGuardTest.cpp
+++ b/tests/PromptGuardTest.cpp
@@ -121,6 +121,22 @@
   BOOST_TEST(guard_.Decide(now_).empty());
 }
 
+BOOST_AUTO_TEST_CASE(IsHeldAfterMoreCrashesWhenFewServersAreLeft)
+{
+  Crashes(4, { kDeadly });
+  OthersStart(6);
+  BOOST_TEST(guard_.Decide(now_).empty());
+  Crashes(2, { kDeadly });
+  BOOST_TEST(guard_.Decide(now_) == std::vector{ kDeadly });
+}
+
+BOOST_AUTO_TEST_CASE(IsNotHeldWhileHardlyAnythingBegins)
+{
+  Crashes(10, { kShared });
+  OthersStart(1);
+  BOOST_TEST(guard_.Decide(now_).empty());
+}
+
 BOOST_AUTO_TEST_CASE(IsNotHeldForOneRepeatedRequest)
 {
   for (int i = 0; i < 10; ++i) {
