Keep soak connections open until they end

Cause: callers of the soak left a connection after 1 to 30 requests, so that few were open and busy when an entry process stopped. A cut was not counted either when the process had ended by the time it was seen, as after a stop. Change: every other caller sends on its connection until that ends or an answer says `Connection: close`. A request that is cut by a stop counts as dropped unless its process was killed or frozen meanwhile, and at any age once a runner had it.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import collections
+import itertools
 import json
 import os
 import pathlib
@@ -145,8 +146,8 @@
         self.next_id += 1
         return f"r{self.next_id}"
 
-    async def caller(self):
-        """Keeps a connection to one entry process until that is gone, then takes another."""
+    async def caller(self, keeps):
+        """Uses a connection to one entry process, to its end or for some requests, then takes another."""
         while not self.stopping:
             entry = self.random.choice(self.system.entries)
             try:
@@ -156,7 +157,7 @@
                 await asyncio.sleep(0.1)
                 continue
             try:
-                for _ in range(self.random.randint(1, 30)):
+                for _ in itertools.count() if keeps else range(self.random.randint(1, 30)):
                     if self.stopping or not await self.request(entry, reader, writer):
                         break
                     await asyncio.sleep(self.random.uniform(0, 0.05))
@@ -171,7 +172,7 @@
         if "stream" in kind:
             model = f"m{int(len(standins.MODELS) * self.random.random() ** 2)}"
             headers.update({"X-Model": model, "X-Token-Count": "100,36"})
-        restarts, begin = entry.restarts, time.monotonic()
+        restarts, disruptions, begin = entry.restarts, entry.disruptions, time.monotonic()
         writer.write(wire.message(f"POST {path} HTTP/1.1", headers, b"{}"))
         status, keep, cut = 0, False, False
         try:
@@ -184,8 +185,9 @@
         self.record.answers[identity] = (kind, status)
         self.counts[status if not cut else "cut"] += 1
         # A stream may break with its runner; anything else is answered unless its process was killed.
-        if cut and "stream" not in kind and entry.restarts == restarts and entry.running() and (
-                time.monotonic() - begin > 0.2):
+        undisturbed = entry.restarts == restarts and entry.running() or entry.disruptions == disruptions
+        if cut and "stream" not in kind and undisturbed and (
+                time.monotonic() - begin > 0.2 or self.record.runs.get(identity)):
             self.record.broken("a request was dropped", f"{identity} at {entry.name}")
         return status != 0 and keep
 
@@ -325,7 +327,7 @@
         if not await self.change(10.0):
             self.record.broken("the first configuration was not accepted", "10 s")
         await asyncio.sleep(2.0)
-        callers = [asyncio.create_task(self.caller()) for _ in range(8)]
+        callers = [asyncio.create_task(self.caller(number % 2 == 0)) for number in range(8)]
         others = [asyncio.create_task(self.operator()), asyncio.create_task(self.watch())]
         faults, until = [], time.monotonic() + seconds
         while time.monotonic() < until:
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -23,6 +23,7 @@
         self.paused = False
         self.stopped_by_us = True
         self.restarts = 0
+        self.disruptions = 0  # kills and freezes
         self.data = system.folder / f"{self.name}-data"
 
     def start(self, bootstrap=False):
@@ -41,6 +42,7 @@
 
     def kill(self):
         self.stopped_by_us = True
+        self.disruptions += 1
         self.send(signal.SIGKILL)
         self.child.wait()
         self.paused = False
@@ -51,6 +53,7 @@
 
     def pause(self, paused):
         self.paused = paused
+        self.disruptions += paused
         self.send(signal.SIGSTOP if paused else signal.SIGCONT)
 
     def wipe(self):
