Send signals in series and stop entry processes together in the soak

Cause: the soak sent SIGHUP to one process at a time and stopped entry processes one by one, but for chance. Change: a fault stops two of three running entry processes at the same time while SIGHUP goes to 4 to 12 processes, up to 0.1 s apart, those that stop included.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -305,6 +305,17 @@
     async def fault_reload(self):
         self.random.choice(self.system.processes()).send(signal.SIGHUP)
 
+    async def fault_signals(self):
+        # Two entry processes stop at the same time among reloads; the others stay up.
+        if not all(entry.running() and not entry.stopped_by_us for entry in self.system.entries):
+            return
+        stops = [asyncio.create_task(self.restart(entry, kill=False))
+                 for entry in self.random.sample(self.system.entries, 2)]
+        for process in self.random.choices(self.system.processes(), k=self.random.randint(4, 12)):
+            process.send(signal.SIGHUP)
+            await asyncio.sleep(self.random.uniform(0.0, 0.1))
+        await asyncio.gather(*stops)
+
     # ---- a run ----
 
     async def watch(self):
