Crash soak runners by a part of a prompt

Cause: no fault of the soak crashed runners by what a request holds. Change: streams carry X-Prompt-Prefix with a common first part. A fault sends requests, no two alike, with a part that crashes each engine that begins to answer, with or without the head of its answer; it is back after 1 to 3 s. One such fault also comes after all others, so that calm time is left. Checked: from 3 s after the fifth crash at most three requests with the part reach runners; from 6 s after it sound streams begin at least half as often as outside such faults (20 or more of each). Both leave out 8 s after a disturbance of the control group or of the entry process concerned. A crash ends the connections of a runner with what they had already received, and a runner that is up is not started twice.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,9 @@
 # Requests after which the drained runner may still get some: those of an entry process that was
 # frozen or had no leader to hear it from.
 CALM_S = 8.0
+# Requests with a part of a prompt that crashes runners: how long they come, and when they are held back.
+DEADLY_S = 12.0
+DEADLY_CRASHES, HOLD_S, MAX_LATE = 5, 3.0, 3
 
 
 class Record:
@@ -44,6 +47,28 @@
         self.answers = {}
         self.findings = []
         self.last_disturbance = 0.0
+        self.disturbed = collections.defaultdict(float)  # by entry process, and of the control group
+        self.deadly = {}  # part of a prompt: times of its crashes
+        self.striking = set()
+        self.senders = {}  # entry processes of the requests with such a part
+        self.late = collections.Counter()
+        self.begun = set()
+
+    def is_calm(self, entry):
+        last = max(self.disturbed["control"], self.disturbed[entry.name])
+        return time.monotonic() - last > CALM_S
+
+    def reached(self, identity, prompt):
+        """A stream reached a runner. Returns the part of its prompt that crashes runners, if any."""
+        part = next((part for part in wire.shared_parts(prompt) if part in self.deadly), None)
+        crashes = self.deadly.get(part, [])
+        if len(crashes) >= DEADLY_CRASHES and self.is_calm(self.senders[identity]) and (
+                time.monotonic() - crashes[DEADLY_CRASHES - 1] > HOLD_S):
+            self.late[part] += 1
+            if self.late[part] == MAX_LATE + 1:
+                self.broken("requests with a deadly part of a prompt still reach runners",
+                            f"part {part}, {identity} at {self.senders[identity].name}")
+        return part
 
     def ran(self, identity, runner):
         now = time.monotonic()
@@ -77,6 +102,7 @@
         self.counts = collections.Counter()
         self.next_id = 0
         self.wiped_at = 0.0
+        self.streams = []  # (identity, whether requests with a deadly part are held back meanwhile)
 
     # ---- the operator ----
 
@@ -170,8 +196,9 @@
         identity = self.identity()
         headers = {"Host": HOST, "X-Request-Id": identity, "X-Deadline-Ms": "4000"}
         if "stream" in kind:
-            model = f"m{int(len(standins.MODELS) * self.random.random() ** 2)}"
-            headers.update({"X-Model": model, "X-Token-Count": "100,36"})
+            headers.update(self.prompt(f"b{self.random.randint(0, 3)}"))
+            if not self.record.striking or self.held_back(entry):
+                self.streams.append((identity, bool(self.record.striking)))
         restarts, disruptions, begin = entry.restarts, entry.disruptions, time.monotonic()
         writer.write(wire.message(f"POST {path} HTTP/1.1", headers, b"{}"))
         status, keep, cut = 0, False, False
@@ -191,6 +218,17 @@
             self.record.broken("a request was dropped", f"{identity} at {entry.name}")
         return status != 0 and keep
 
+    def prompt(self, part):
+        model = f"m{int(len(standins.MODELS) * self.random.random() ** 2)}"
+        return {"X-Model": model, "X-Token-Count": "100,36",
+                "X-Prompt-Prefix": f"a0:60,{part}:20,{0x100000 + self.next_id:x}:20"}
+
+    def held_back(self, entry):
+        """Whether requests with a deadly part should no longer get in the way of sound ones."""
+        crashes = [self.record.deadly[part][:DEADLY_CRASHES] for part in self.record.striking]
+        return self.record.is_calm(entry) and all(
+            times and time.monotonic() - times[-1] > 2 * HOLD_S for times in crashes)
+
     async def answer(self, reader, identity, path):
         first, headers = await wire.read_head(reader)
         status = int(first.split()[1])
@@ -208,8 +246,9 @@
 
     # ---- faults ----
 
-    def disturb(self):
+    def disturb(self, process):
         self.record.last_disturbance = time.monotonic()
+        self.record.disturbed["control" if process.role == "control" else process.name] = time.monotonic()
 
     async def fault(self):
         kind = self.random.choice([name for name in dir(self) if name.startswith("fault_")])
@@ -272,7 +311,7 @@
     async def restart(self, process, kill, wipe=False):
         if not process.running() or process.stopped_by_us:
             return
-        self.disturb()
+        self.disturb(process)
         if kill:
             process.restarts += 1
             process.kill()
@@ -290,17 +329,17 @@
             process.wipe()
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
         process.start()
-        self.disturb()
+        self.disturb(process)
 
     async def fault_pause(self):
         process = self.random.choice(self.system.processes())
         if not process.running() or process.paused or process.stopped_by_us:
             return
-        self.disturb()
+        self.disturb(process)
         process.pause(True)
         await asyncio.sleep(self.random.uniform(0.3, 3.5))
         process.pause(False)
-        self.disturb()
+        self.disturb(process)
 
     async def fault_reload(self):
         self.random.choice(self.system.processes()).send(signal.SIGHUP)
@@ -316,6 +355,28 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
         await asyncio.gather(*stops)
 
+    async def fault_deadly_prompt(self):
+        part = f"dead{len(self.record.deadly):x}"
+        self.record.deadly[part] = []
+        self.record.striking.add(part)
+        calls, until = [], time.monotonic() + DEADLY_S
+        while time.monotonic() < until:
+            calls.append(asyncio.create_task(self.deadly_request(part)))
+            await asyncio.sleep(self.random.uniform(0.2, 0.6))
+        self.record.striking.discard(part)
+        await asyncio.gather(*calls)
+
+    async def deadly_request(self, part):
+        entry, kind = self.random.choice(self.system.entries), self.random.choice(["/stream/", "/stream1/"])
+        identity = self.identity()
+        self.record.senders[identity] = entry
+        status, _, _ = await wire.call(f"{entry.ip}:{programs.FRONT}", "POST", f"{kind}{identity}", b"{}", {
+            "Host": HOST, "X-Request-Id": identity, "X-Deadline-Ms": "4000", **self.prompt(part)}, 5.0)
+        self.record.answers[identity] = (kind, status)
+        self.counts["deadly"] += 1
+        if status == 200:
+            self.record.broken("a success is not the whole answer to its request", identity)
+
     # ---- a run ----
 
     async def watch(self):
@@ -345,13 +406,15 @@
             faults.append(asyncio.create_task(self.fault()))
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
         await asyncio.gather(*faults)
-        await asyncio.sleep(RECOVERY_S)
+        await asyncio.gather(asyncio.sleep(RECOVERY_S), self.fault_deadly_prompt())
         await self.check_recovery()
         self.stopping = True
         await asyncio.gather(*callers, *others)
         self.check_runs()
+        self.check_sound_streams()
         for part in self.runners + self.proxies + [self.list]:
-            part.server.close()
+            if part.server is not None:
+                part.server.close()
 
     async def check_recovery(self):
         if not await self.change(4.0):
@@ -384,6 +447,14 @@
         if leaders != 1:
             self.record.broken("not recovered", f"{leaders} control processes say that they lead")
 
+    def check_sound_streams(self):
+        begun = {held: [identity in self.record.begun for identity, other in self.streams if other == held]
+                 for held in (False, True)}
+        shares = {held: sum(streams) / max(len(streams), 1) for held, streams in begun.items()}
+        if min(len(streams) for streams in begun.values()) >= 20 and shares[True] < shares[False] / 2:
+            self.record.broken("sound streams do not begin beside held ones", f"{shares[True]:.2f} of "
+                               f"{len(begun[True])} begin, {shares[False]:.2f} otherwise")
+
     def check_runs(self):
         for identity, (kind, status) in self.record.answers.items():
             runs = self.record.runs.get(identity, [])
@@ -406,7 +477,8 @@
     counts = soak.counts
     answered = sum(count for key, count in counts.items() if isinstance(key, int) and key)
     print(f"seed {seed}: {counts['faults']} faults, {answered} answered, {counts[200]} served, "
-          f"{counts[503]} refused, {counts['cut']} cut, {len(soak.acknowledged)} changes, "
+          f"{counts[503]} refused, {counts['cut']} cut, {sum(map(len, soak.record.deadly.values()))} crashes by "
+          f"{counts['deadly']} deadly requests, {len(soak.acknowledged)} changes, "
           f"{len(soak.record.findings)} findings", flush=True)
     for finding in soak.record.findings[:20]:
         print(f"  {finding}")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -29,12 +29,16 @@
         self.starts = 0
         self.disk = set()
         self.server = None
+        self.starting = False
         self.connections = set()
         self.grey = 0.0
         self.lose = 0.0
         self.slow = 1.0
 
     async def start(self):
+        if self.server is not None or self.starting:
+            return
+        self.starting = True
         self.starts += 1
         self.id = f"{self.service}-{self.number}-{self.starts}"
         self.born = int(time.time() * 1000)
@@ -50,13 +54,20 @@
         self.running = 0
         host, port = self.address.rsplit(":", 1)
         self.server = await asyncio.start_server(self.serve, host, int(port))
+        self.starting = False
 
     def crash(self):
+        if self.server is None:
+            return
         self.server.close()
         self.server = None
         for writer in list(self.connections):
             writer.transport.abort()
 
+    async def restart(self):
+        await asyncio.sleep(random.uniform(1.0, 3.0))
+        await self.start()
+
     def drain(self):
         self.state = "draining"
         self.left = time.monotonic()
@@ -67,6 +78,8 @@
             while True:
                 first, headers = await wire.read_head(reader)
                 body = await wire.read_body(reader, headers)
+                if self.server is None or writer.is_closing():
+                    break
                 method, path, _ = first.split()
                 if not await self.answer(reader, writer, method, path, headers, body):
                     break
@@ -93,19 +106,29 @@
         model = headers.get("x-model")
         identity = headers.get("x-request-id", "")
         echo = {"X-Request-Id": identity}
+        deadly = self.record.reached(identity, headers.get("x-prompt-prefix", "")) if self.engine else None
         if self.engine and model not in self.models:
             return await self.reply(writer, 421, {**not_run, **echo})
         if self.running >= 8:
             return await self.reply(writer, 503, {**not_run, **echo})
         self.running += 1
         try:
-            return await self.run(writer, path, headers, {**echo, "X-Server-Stamp": self.id})
+            return await self.run(writer, path, headers, {**echo, "X-Server-Stamp": self.id}, deadly)
         finally:
             self.running -= 1
 
-    async def run(self, writer, path, headers, answer):
+    async def run(self, writer, path, headers, answer, deadly):
         identity = answer["X-Request-Id"]
         self.record.ran(identity, self)
+        head = ("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in answer.items())
+                + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode()
+        if deadly:
+            if random.random() < 0.5:
+                writer.write(head)
+            self.record.deadly[deadly].append(time.monotonic())
+            self.crash()
+            asyncio.create_task(self.restart())
+            return False
         if random.random() < self.grey:
             return await self.reply(writer, 500, answer, b"broken")
         if not path.startswith("/stream"):
@@ -114,8 +137,7 @@
                 writer.transport.abort()
                 return False
             return await self.reply(writer, 200, answer, f"{path} {identity}".encode())
-        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in answer.items())
-                      + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        writer.write(head)
         for number in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
             await asyncio.sleep(EVENT_S * self.slow)
             if random.random() < self.lose / EVENTS:
@@ -124,6 +146,7 @@
             event = f"id: {number}\ndata: {path} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
+            self.record.begun.add(identity)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -46,6 +46,11 @@
         raise Closed(str(error)) from None
 
 
+def shared_parts(prompt):
+    """Ids of "ID:TOKENS,ID:TOKENS,..." without the last one, which belongs to the request alone."""
+    return [part.split(":")[0] for part in prompt.split(",")[:-1]]
+
+
 def message(first, headers, body=b""):
     lines = [first] + [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
