Fill an adapter's slot only after its last request has ended

Cause: an adapter that requests still use is unloaded once they have ended, which its server answers with 202 instead of 200. The order counted as carried out after 60 ms all the same, and the next one loaded another adapter: one more than the server has slots for, which crashes it. Hosts report their requests up to 0.6 s late, so that an adapter in use can look idle.

Change: such an unload is waited for until a report from after the order no longer lists the adapter. Reports lag, so that for all orders only a report that counts the order shows its effect; a server that still does not count it after 2 s has restarted.

Result: FleetOrdersTest, IsNotFilledWhileRequestsUseTheUnloadedAdapter: failed in three of three runs before, passes.

--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -82,7 +82,9 @@
                                  core::Term aTerm);
   transport::Task<bool> CarryOut(coordination::PlacementOrder aOrder,
                                  core::Term aTerm);
+  /// aSequence: that the order was sent with.
   transport::Task<bool> AwaitEffect(coordination::PlacementOrder aOrder,
+                                    std::int64_t aSequence,
                                     core::Term aTerm);
   transport::Task<void> Refresh(core::ServerId aServer, core::Term aTerm);
   std::optional<std::int64_t> SequenceOf(const core::ServerId& aServer) const;
--- a/control/FleetControllerOrders.cpp
+++ b/control/FleetControllerOrders.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kUnloadTime{ 60 };
 constexpr std::chrono::milliseconds kLoadSlack{ 50 };
 constexpr std::chrono::milliseconds kReportInterval{ 200 };
+/// Age up to which a report may be from before an order.
+constexpr std::chrono::milliseconds kMaxReportLag{ 2000 };
 /// Longest time that an order's effect is waited for.
 constexpr std::chrono::seconds kLongestEffect{ 60 };
 constexpr std::chrono::milliseconds kRefreshInterval{ 1000 };
@@ -63,6 +65,15 @@
   return "";
 }
 
+bool
+IsLoaded(const coordination::EngineContent& aContent,
+         const PlacementOrder& aOrder)
+{
+  const auto model = aContent.models_.find(aOrder.model_);
+  return model != aContent.models_.end() &&
+         (aOrder.adapter_.empty() || model->second.contains(aOrder.adapter_));
+}
+
 } // namespace
 
 std::string
@@ -172,7 +183,7 @@
     switch (reply) {
       case OrderReply::Accepted:
         RecordAccepted(aOrder.server_, *sequence, aTerm);
-        co_return co_await AwaitEffect(aOrder, aTerm);
+        co_return co_await AwaitEffect(aOrder, *sequence, aTerm);
       case OrderReply::Holds: {
         // An adapter that no request uses is unloaded with this answer, which
         // counts in the sequence.
@@ -217,16 +228,18 @@
 }
 
 Task<bool>
-FleetController::AwaitEffect(PlacementOrder aOrder, core::Term aTerm)
+FleetController::AwaitEffect(PlacementOrder aOrder,
+                             std::int64_t aSequence,
+                             core::Term aTerm)
 {
   transport::asio::steady_timer timer(loop_);
   const bool load = aOrder.verb_ == PlacementVerb::Load;
-  if (!aOrder.adapter_.empty()) {
-    co_await transport::Sleep(timer, load ? aOrder.expected_ : kUnloadTime);
+  if (load && !aOrder.adapter_.empty()) {
+    co_await transport::Sleep(timer, aOrder.expected_);
     co_return true;
   }
   bool quick = load && aOrder.tier_ != WeightTier::Store;
-  if (!load) {
+  if (!load && aOrder.adapter_.empty()) {
     const std::lock_guard lock(mutex_);
     quick = !table_.ActiveModelsAt(aOrder.server_).contains(aOrder.model_);
   }
@@ -235,13 +248,18 @@
   if (quick) {
     co_return true;
   }
-  const core::MonotonicTime until = clock_.Now() + kLongestEffect;
-  while (clock_.Now() < until && Leads(aTerm)) {
+  const core::MonotonicTime begin = clock_.Now();
+  while (clock_.Now() < begin + kLongestEffect && Leads(aTerm)) {
     const auto report = co_await Report(aOrder.server_);
-    if (report && !report->busy_ &&
-        report->content_.models_.contains(aOrder.model_) == load) {
+    const bool countsOrder = report && report->sequence_ > aSequence;
+    if (countsOrder && !report->busy_ &&
+        IsLoaded(report->content_, aOrder) == load) {
       co_return true;
     }
+    if (report && !countsOrder && clock_.Now() > begin + kMaxReportLag) {
+      // The server has restarted and counts anew.
+      co_return false;
+    }
     co_await transport::Sleep(timer, kReportInterval);
   }
   co_return false;
--- a/tests/FleetOrdersTest.cpp
+++ b/tests/FleetOrdersTest.cpp
@@ -130,6 +130,25 @@
 
 BOOST_AUTO_TEST_SUITE(AnAdapterSlot)
 
+// An engine that is ordered to load more adapters than it has slots crashes.
+BOOST_FIXTURE_TEST_CASE(IsNotFilledWhileRequestsUseTheUnloadedAdapter, Fixture)
+{
+  BOOST_REQUIRE(Await([&] {
+    Report("a3");
+    return !engine_.unloading_.empty();
+  }));
+  for (int i = 0; i < 25; ++i) {
+    Report("a3");
+  }
+  BOOST_TEST(!engine_.overfull_);
+  engine_.EndRequests();
+  BOOST_TEST(Await([&] {
+    Report("a3");
+    return engine_.adapters_.contains("a3");
+  }));
+  BOOST_TEST(!engine_.overfull_);
+}
+
 // An order counts on what the engine held when its sequence was read.
 BOOST_FIXTURE_TEST_CASE(IsNotFilledOnAnOldReport, Fixture)
 {
