--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -133,6 +133,19 @@
   BOOST_TEST(!platform::ParseReport("{}").Ok());
 }
 
+// An adapter that is being loaded takes its slot already.
+BOOST_AUTO_TEST_CASE(ReportsCountPendingAdapters)
+{
+  const auto report = platform::ParseReport(
+    R"({"Models":[{"Name":"m","Version":1,"Adapters":["a1"]}],"Busy":false,
+    "Sequence":2,"Pending":["m/a2@1","n/a1@1","m","/@",7]})");
+  BOOST_REQUIRE(report.Ok());
+  const auto& models = report.Value().content_.models_;
+  BOOST_TEST(models.size() == 1U);
+  const std::set<std::string> expected{ "a1", "a2" };
+  BOOST_TEST((models.at(core::ModelName("m")) == expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(SettingsOfAProcess)
