Let a stream that broke off wait for a server as long as its caller does

Seen by callers: a resumable stream whose server breaks off more than its caller's idle timeout after it arrived ends incomplete unless a slot is free at that moment; while its host stops, from 3 s after SIGTERM on.

Cause: the time limit for a slot was that of a request that has not begun. It counts from the arrival, and in a stop it leaves the request to other hosts, which cannot take a stream that has begun.

Change: the limit of a stream counts from its last event, and in a stop it is the end of the grace.

Result: ServerTroubleTest, WaitsForAServerLongAfterItsArrival, and PlannedStopTest, LetsABrokenStreamWaitForAServer: failed before, pass.

--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -34,14 +34,18 @@
   }
   core::MonotonicTime latest = deadline_ - kPlainReserve;
   if (route_->kind_ == RequestKind::Stream) {
-    // The caller disconnects when the first event takes longer than its idle
+    // The caller disconnects when the next event takes longer than its idle
     // timeout.
-    latest = std::min(deadline_, arrivedAt_ + route_->callerIdleTimeout_) -
+    latest = std::min(deadline_,
+                      std::max(arrivedAt_, lastEventAt_) +
+                        route_->callerIdleTimeout_) -
              kStreamReserve;
   }
   if (gateway_.draining_) {
-    // This process stops soon; another host can still find a server slot.
-    latest = std::min(latest, gateway_.drainSlotDeadline_);
+    // This process stops soon; another host can still find a server slot, but
+    // not for a stream that has begun.
+    latest = std::min(
+      latest, streaming_ ? gateway_.stopTime_ : gateway_.drainSlotDeadline_);
   }
   const auto readyAt = gateway_.ExpectedReadyTime(requirements_.model_);
   const bool tooLate = choiceStatus == BackendChoiceStatus::NoModel &&
@@ -50,8 +54,8 @@
   // once the control group has had time to decide on a load: the caller can
   // retry at a host that is not stopping and can wait longer.
   const bool leaveToOtherHost =
-    gateway_.draining_ && choiceStatus == BackendChoiceStatus::NoModel &&
-    !readyAt &&
+    gateway_.draining_ && !streaming_ &&
+    choiceStatus == BackendChoiceStatus::NoModel && !readyAt &&
     coordination::SplitModel(requirements_.model_).adapter_.empty() &&
     now >= arrivedAt_ + kLoadDecisionTime;
   if (tooLate || leaveToOtherHost || latest <= now) {
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -135,6 +135,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_CASE(LetsABrokenStreamWaitForAServer, Fixture)
+{
+  // The server breaks off after the time in which a stop assigns slots.
+  StartServersOfBrokenStreams(4);
+  transport::Spawn(loop_, [this]() -> Task<void> {
+    transport::asio::steady_timer timer(loop_);
+    co_await transport::Sleep(timer, 300ms);
+    gateway_->Drain();
+  });
+  BOOST_TEST(Call("/long/a").body_.ends_with("id: 5\ndata: end\n\n"));
+}
+
 BOOST_FIXTURE_TEST_CASE(ClosesKeptConnectionsBeforeItStopsReading, Fixture)
 {
   StartServer("s1", StreamFor(kIdleCloseTime + 200ms));
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -279,6 +279,12 @@
   BOOST_TEST(Call("/stream/a").body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+BOOST_FIXTURE_TEST_CASE(WaitsForAServerLongAfterItsArrival, Fixture)
+{
+  StartServersOfBrokenStreams(3);
+  BOOST_TEST(Call("/long/a").body_.ends_with("id: 4\ndata: end\n\n"));
+}
+
 BOOST_FIXTURE_TEST_CASE(IsNotCutWhileSlowEventsArrive, Fixture)
 {
   StartServer(
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -28,6 +28,22 @@
 namespace http = transport::http;
 
 constexpr std::chrono::seconds kTestTimeout{ 10 };
+constexpr std::int32_t kServerSlots = 4;
+/// Between two events of StartServersOfBrokenStreams.
+constexpr std::chrono::milliseconds kEventInterval{ 900 };
+
+inline const std::string kSignedSuccess = "200 OK\r\nId: abc\r\nStamp: s1";
+
+inline std::string
+Chunk(const std::string& aText)
+{
+  std::string size;
+  constexpr const char* kDigits = "0123456789abcdef";
+  for (std::size_t left = aText.size(); left > 0; left /= 16) {
+    size.insert(size.begin(), kDigits[left % 16]);
+  }
+  return size + "\r\n" + aText + "\r\n";
+}
 
 /// Fake leader of the control group.
 class FakeFleet final : public wire::FleetIf
@@ -70,10 +86,21 @@
     row.server = aId;
     row.address = "127.0.0.1:" + std::to_string(aPort);
     row.serviceName = aService;
-    row.slots = 4;
+    row.slots = kServerSlots;
     reply_.rows.push_back(row);
   }
 
+  /// Requests that other hosts have at the server.
+  void SetOthersInFlight(const std::string& aId, std::int32_t aCount)
+  {
+    const std::lock_guard lock(mutex_);
+    for (wire::ServerRow& row : reply_.rows) {
+      if (row.server == aId) {
+        row.inFlight = aCount;
+      }
+    }
+  }
+
   void SetSuspect(const wire::Fingerprint& aRequest, std::int32_t aServers)
   {
     const std::lock_guard lock(mutex_);
@@ -248,6 +275,41 @@
     fleet_->AddServer(aId, port, aService);
   }
 
+  /// Starts a server that breaks off streams after aEvents events, and another
+  /// one that ends them, but is full until some time after that.
+  void StartServersOfBrokenStreams(int aEvents)
+  {
+    StartServer("s1",
+                [this, aEvents](transport::CallerLink& aLink,
+                                const HttpRequest&) -> Task<void> {
+                  co_await aLink.WriteRaw(
+                    "HTTP/1.1 " + kSignedSuccess +
+                    "\r\nTransfer-Encoding: chunked\r\n\r\n");
+                  transport::asio::steady_timer timer(loop_);
+                  for (int event = 1; event <= aEvents; ++event) {
+                    co_await aLink.WriteRaw(
+                      Chunk("id: " + std::to_string(event) + "\ndata: a\n\n"));
+                    co_await transport::Sleep(timer, kEventInterval);
+                  }
+                  aLink.Abort();
+                  co_await transport::Sleep(timer, kEventInterval / 2);
+                  fleet_->SetOthersInFlight("s2", 0);
+                });
+    StartServer(
+      "s2",
+      [](transport::CallerLink& aLink,
+         const HttpRequest& aRequest) -> Task<void> {
+        const auto last = aRequest["Last-Id"];
+        co_await aLink.WriteRaw(
+          "HTTP/1.1 " + kSignedSuccess +
+          "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+          Chunk("id: " + std::to_string(std::stoi(std::string(last)) + 1) +
+                "\ndata: end\n\n") +
+          "0\r\n\r\n");
+      });
+    fleet_->SetOthersInFlight("s2", kServerSlots);
+  }
+
   static HttpRequest Request(const std::string& aTarget)
   {
     HttpRequest request{ http::verb::post, aTarget, 11 };
@@ -312,17 +374,4 @@
   }
 };
 
-inline const std::string kSignedSuccess = "200 OK\r\nId: abc\r\nStamp: s1";
-
-inline std::string
-Chunk(const std::string& aText)
-{
-  std::string size;
-  constexpr const char* kDigits = "0123456789abcdef";
-  for (std::size_t left = aText.size(); left > 0; left /= 16) {
-    size.insert(size.begin(), kDigits[left % 16]);
-  }
-  return size + "\r\n" + aText + "\r\n";
-}
-
 } // namespace crocusslip::tests
