Ignore reports of servers from before their last order

Cause: reports lag by some hundred ms. One that was read because a host missed a model replaced what the leader knew of a server that had just carried out an order; the next order had an old sequence, was refused four times, and the server got none for about a second.

Change: a report with a lower sequence is ignored while the content is verified, unless the server has restarted since ("born").

--- a/control/BackendPort.hpp
+++ b/control/BackendPort.hpp
@@ -20,6 +20,8 @@
   bool busy_ = false;
   /// Orders accepted since its start.
   std::int64_t sequence_ = 0;
+  /// Identifies the start that sequence_ counts from; 0: not reported.
+  std::int64_t startedAt_ = 0;
 };
 
 /// Who gives an order. Engines refuse an order with a lower number than one
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -62,6 +62,7 @@
   {
     /// Sequence of the content that placement_ has of the engine.
     std::optional<std::int64_t> sequence_;
+    std::int64_t startedAt_ = 0;
     core::MonotonicTime refreshedAt_;
     bool refreshing_ = false;
   };
--- a/control/FleetControllerOrders.cpp
+++ b/control/FleetControllerOrders.cpp
@@ -282,9 +282,17 @@
   Engine& engine = engines_[aServer];
   engine.refreshing_ = false;
   engine.refreshedAt_ = clock_.Now();
-  if (report && !report->busy_ && term_ == aTerm &&
-      placement_.SetVerifiedContent(aServer, report->content_)) {
+  if (!report || report->busy_ || term_ != aTerm) {
+    co_return;
+  }
+  // Reports lag: one from before an order that has been carried out would undo
+  // what is known of its effect.
+  const bool outdated = placement_.IsVerified(aServer) && engine.sequence_ &&
+                        report->startedAt_ == engine.startedAt_ &&
+                        report->sequence_ < *engine.sequence_;
+  if (!outdated && placement_.SetVerifiedContent(aServer, report->content_)) {
     engine.sequence_ = report->sequence_;
+    engine.startedAt_ = report->startedAt_;
     ShowModels();
   }
 }
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -91,6 +91,13 @@
   return true;
 }
 
+bool
+ModelPlacement::IsVerified(const core::ServerId& aServer) const
+{
+  const auto found = servers_.find(aServer);
+  return found != servers_.end() && found->second.verified_;
+}
+
 std::vector<core::ServerId>
 ModelPlacement::UnverifiedServers() const
 {
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -121,6 +121,7 @@
                    bool aSucceeded,
                    core::MonotonicTime aNow);
 
+  bool IsVerified(const core::ServerId& aServer) const;
   /// Servers whose content must be queried and passed to SetVerifiedContent
   /// before they can get orders.
   std::vector<core::ServerId> UnverifiedServers() const;
--- a/tests/FleetOrdersTest.cpp
+++ b/tests/FleetOrdersTest.cpp
@@ -175,3 +175,29 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AReportFromBeforeTheLastOrder)
+
+BOOST_FIXTURE_TEST_CASE(DoesNotUndoWhatTheOrderDid, Fixture)
+{
+  engine_.requestsRun_ = false;
+  control::EngineReport old;
+  old.content_ = engine_.Content();
+  old.sequence_ = engine_.sequence_;
+  BOOST_REQUIRE(Await([&] {
+    Report("a3");
+    return engine_.adapters_.contains("a3");
+  }));
+  engine_.oldReport_ = old;
+  const auto until = std::chrono::steady_clock::now() + 1500ms;
+  while (std::chrono::steady_clock::now() < until) {
+    Report("a3", true);
+  }
+  BOOST_TEST(Await([&] {
+    Report("a4");
+    return engine_.adapters_.contains("a4");
+  }));
+  BOOST_TEST(engine_.conflicts_ == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -125,10 +125,12 @@
 {
   const auto report = platform::ParseReport(
     R"({"Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":true,
-    "Sequence":2,"Available":{"Resident":["m"],"OnDisk":["m","n"]}})");
+    "Sequence":2,"born":1790000000000,
+    "Available":{"Resident":["m"],"OnDisk":["m","n"]}})");
   BOOST_REQUIRE(report.Ok());
   BOOST_TEST(report.Value().busy_);
   BOOST_TEST(report.Value().sequence_ == 2);
+  BOOST_TEST(report.Value().startedAt_ == 1790000000000);
   BOOST_TEST(report.Value().copies_.onDisk_.size() == 2U);
   BOOST_TEST(!platform::ParseReport("{}").Ok());
 }
