Answer 408 to a caller whose request head does not come

Cause: the read of a head had the timeout of beast::tcp_stream, which closes the socket: the 408 was written to a closed connection, and the caller could not tell the end from a cut.

Change: a timer cancels the read and leaves the connection open; shared with the wait for a server's data.

Result: GatewayTest, IsAnswered408WhenItsHeadDoesNotCome: failed before, passes.

--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -68,6 +68,27 @@
 }
 
 // The signature proves that the answer comes from a backend server.
+BOOST_FIXTURE_TEST_CASE(IsAnswered408WhenItsHeadDoesNotCome, Fixture)
+{
+  bool done = false;
+  std::string answer(1024, '\0');
+  transport::Tcp::socket socket(loop_);
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    boost::system::error_code error;
+    co_await socket.async_connect(*transport::ParseEndpoint(callerAddress_),
+                                  transport::Catch(error));
+    const std::string head = "POST /safe/a HTTP/1.1\r\nHost: h.example\r\n";
+    co_await socket.async_write_some(transport::asio::buffer(head),
+                                     transport::Catch(error));
+    answer.resize(co_await socket.async_read_some(
+      transport::asio::buffer(answer), transport::Catch(error)));
+    done = true;
+  });
+  RunUntil(done);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 408"));
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
 BOOST_FIXTURE_TEST_CASE(IsNotAnsweredWithAnUnsignedSuccess, Fixture)
 {
   StartServer("s1", Respond("200 OK\r\nId: abc", "hello"));
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -49,6 +49,42 @@
                sizeof(timeout));
 }
 
+/// Cancels what is waited for on a socket after some time. Unlike the timeout
+/// of tcp_stream it leaves the connection open.
+class CancelTimer
+{
+public:
+  CancelTimer(beast::tcp_stream& aStream, std::chrono::nanoseconds aTime)
+    : timer_(aStream.get_executor())
+  {
+    timer_.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(aTime));
+    timer_.async_wait(
+      [&aStream, wait = wait_](const boost::system::error_code& aError) {
+        if (!aError && !wait->over_) {
+          wait->expired_ = true;
+          boost::system::error_code ignored;
+          aStream.socket().cancel(ignored);
+        }
+      });
+  }
+  // The timer's handler may run after the wait is over.
+  ~CancelTimer() { wait_->over_ = true; }
+  CancelTimer(const CancelTimer&) = delete;
+  CancelTimer& operator=(const CancelTimer&) = delete;
+
+  bool Expired() const { return wait_->expired_; }
+
+private:
+  struct Wait
+  {
+    bool over_ = false;
+    bool expired_ = false;
+  };
+  const std::shared_ptr<Wait> wait_ = std::make_shared<Wait>();
+  asio::steady_timer timer_;
+};
+
 std::optional<int>
 Peek(Tcp::socket& aSocket)
 {
@@ -116,10 +152,13 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits_.headerBytes_);
   parser.body_limit(limits_.bodyBytes_);
-  stream_.expires_after(limits_.headerTime_);
-  co_await http::async_read_header(stream_, buffer_, parser, Catch(error));
-  if (error == beast::error::timeout) {
-    co_return ReadResult::HeaderTimeout;
+  stream_.expires_never();
+  {
+    const CancelTimer timer(stream_, limits_.headerTime_);
+    co_await http::async_read_header(stream_, buffer_, parser, Catch(error));
+    if (error && timer.Expired()) {
+      co_return ReadResult::HeaderTimeout;
+    }
   }
   if (error == http::error::header_limit) {
     co_return ReadResult::HeaderTooLarge;
@@ -318,27 +357,10 @@
   if (buffer_.size() > 0) {
     co_return true;
   }
-  struct Wait
-  {
-    bool over_ = false;
-    bool expired_ = false;
-  };
-  // The timer's handler may run after the wait is over.
-  const auto wait = std::make_shared<Wait>();
-  asio::steady_timer timer(stream_.get_executor());
-  timer.expires_after(
-    std::chrono::duration_cast<asio::steady_timer::duration>(aTimeout));
-  timer.async_wait([this, wait](const boost::system::error_code& aError) {
-    if (!aError && !wait->over_) {
-      wait->expired_ = true;
-      boost::system::error_code ignored;
-      stream_.socket().cancel(ignored);
-    }
-  });
+  const CancelTimer timer(stream_, aTimeout);
   boost::system::error_code error;
   co_await stream_.socket().async_wait(Tcp::socket::wait_read, Catch(error));
-  wait->over_ = true;
-  co_return !wait->expired_;
+  co_return !timer.Expired();
 }
 
 Task<bool>
