Load an adapter elsewhere while a server unloads it

Cause: an order for an adapter at any server counted as planned, also an unload. The adapter is not routable from the start of its unload, which waits for its last request since: for that time, up to a minute, requests for it were refused for lack of a server.

Change: only loads count as planned.

Result: ModelPlacementTest, OfAnAdapterDoesNotKeepItFromOtherServers: failed before, passes.

--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -348,7 +348,8 @@
       loaded->second.adapters_.contains(aParts.adapter_);
     const bool planned =
       std::ranges::any_of(server.plan_, [&](const PlacementOrder& aOrder) {
-        return aOrder.model_ == aParts.model_ &&
+        return aOrder.verb_ == PlacementVerb::Load &&
+               aOrder.model_ == aParts.model_ &&
                aOrder.adapter_ == aParts.adapter_;
       });
     if (alreadyLoaded || planned) {
--- a/tests/ModelPlacementTest.cpp
+++ b/tests/ModelPlacementTest.cpp
@@ -435,3 +435,30 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AnOrderThatTakesLong)
+
+BOOST_FIXTURE_TEST_CASE(OfAnAdapterDoesNotKeepItFromOtherServers, Fixture)
+{
+  for (const int server : { 1, 2 }) {
+    placement_.AddServer(Server(server), kService);
+  }
+  const EngineContent full{ { { Model("m1"), { "a1", "a2" } } } };
+  placement_.SetVerifiedContent(Server(1), full);
+  AddWaiting("m1/a3");
+  now_ += 1s;
+  const auto orders = Decide();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_REQUIRE((orders[0].verb_ == PlacementVerb::Unload));
+  // Requests still use the adapter, so that its unload waits.
+  placement_.SetVerifiedContent(Server(2), { { { Model("m1"), {} } } });
+  demand_.clear();
+  AddWaiting("m1/" + orders[0].adapter_);
+  now_ += 1s;
+  const auto loads = LoadsOf(Decide(), "m1");
+  BOOST_REQUIRE(loads.size() == 1U);
+  BOOST_TEST((loads[0].server_ == Server(2)));
+  BOOST_TEST(loads[0].adapter_ == orders[0].adapter_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
