Do not wait for the copy of a server whose order is overdue

Cause: a load from the store is left to a busy server that has a copy if its planned orders end sooner. An unload is expected to take no time, so that one that waits for requests always seemed to end at once: nobody loaded the model meanwhile.

Change: a server whose order has taken 0.5 s longer than expected does not keep others from loading.

Result: ModelPlacementTest, DoesNotKeepModelsFromOtherServers: failed before, passes.

--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -40,6 +40,8 @@
 /// Interval at which order rates are recomputed. Request rates change slowly,
 /// with a half-life of seconds.
 constexpr std::chrono::milliseconds kOrderRateInterval{ 300 };
+/// Time beyond its expected end after which an order counts as overdue.
+constexpr std::chrono::milliseconds kOverdueOrderTime{ 500 };
 /// Cost, in seconds, per unit of slowness; a server of mean speed has 1.
 constexpr double kSlownessCostS = 0.5;
 
@@ -181,8 +183,11 @@
     const EngineLimits* limits = LimitsOf(server);
     const WeightTier tier = TierOf(server, aModel);
     // An idle server is a candidate itself if it can make room.
+    // How much longer an overdue order takes is not known.
+    const bool overdue =
+      server.orderInProgress_ && aNow > server.orderEndsAt_ + kOverdueOrderTime;
     if (limits == nullptr || tier == WeightTier::Store ||
-        server.plan_.empty() || server.models_.contains(aModel)) {
+        server.plan_.empty() || server.models_.contains(aModel) || overdue) {
       continue;
     }
     core::MonotonicTime ready = std::max(aNow, server.orderEndsAt_);
--- a/tests/ModelPlacementTest.cpp
+++ b/tests/ModelPlacementTest.cpp
@@ -461,4 +461,24 @@
   BOOST_TEST(loads[0].adapter_ == orders[0].adapter_);
 }
 
+BOOST_FIXTURE_TEST_CASE(DoesNotKeepModelsFromOtherServers, Fixture)
+{
+  AddServerWith(1, { "m1", "m2" });
+  placement_.SetCachedWeights(Server(1), { {}, { Model("m3") } });
+  AddRunning(1, "m1", 1);
+  AddWaiting("m3");
+  now_ += 2s;
+  const auto orders = Decide();
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_REQUIRE((orders[0].verb_ == PlacementVerb::Unload));
+  // The unload waits for requests that the hosts had not reported.
+  AddServerWith(2, {});
+  AddWaiting("m4");
+  placement_.SetCachedWeights(Server(1), { {}, { Model("m3"), Model("m4") } });
+  now_ += 3s;
+  const auto loads = LoadsOf(Decide(), "m4");
+  BOOST_REQUIRE(loads.size() == 1U);
+  BOOST_TEST((loads[0].server_ == Server(2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
