Match the end of an order with the order that is in progress

Cause: a server that leaves the list and returns under its name gets a new record, but an order from before ended the first one of the new plan, and its sequence was recorded anew. The next order of that plan could then be sent before the first had been carried out.

Change: orders have a number; the end of another than the current one is ignored, and a sequence is recorded only on top of the one it was sent with.

Result: ModelPlacementTest, DoesNotEndAnOrderToTheServerAfterItsReturn: failed before, passes.

--- a/control/FleetControllerOrders.cpp
+++ b/control/FleetControllerOrders.cpp
@@ -98,8 +98,10 @@
                                 core::Term aTerm)
 {
   const std::lock_guard lock(mutex_);
-  if (term_ == aTerm) {
-    engines_[aServer].sequence_ = aSequence + 1;
+  const auto found = engines_.find(aServer);
+  if (term_ == aTerm && found != engines_.end() &&
+      found->second.sequence_ == aSequence) {
+    found->second.sequence_ = aSequence + 1;
   }
 }
 
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -335,7 +335,8 @@
     if (server.plan_.empty() || server.orderInProgress_) {
       continue;
     }
-    const PlacementOrder& order = server.plan_.front();
+    PlacementOrder& order = server.plan_.front();
+    order.id_ = ++lastOrderId_;
     server.orderInProgress_ = true;
     server.lastOrderAt_ = aNow;
     server.orderEndsAt_ = aNow + order.expected_;
@@ -361,6 +362,9 @@
     return;
   }
   Server& server = found->second;
+  if (!server.orderInProgress_ || server.plan_.front().id_ != aOrder.id_) {
+    return;
+  }
   const core::Duration duration = aNow - server.lastOrderAt_;
   server.orderInProgress_ = false;
   server.lastOrderAt_ = aNow;
@@ -374,9 +378,7 @@
     server.verified_ = false;
     return;
   }
-  if (!server.plan_.empty()) {
-    server.plan_.erase(server.plan_.begin());
-  }
+  server.plan_.erase(server.plan_.begin());
   if (!aOrder.adapter_.empty()) {
     const auto loaded = server.models_.find(aOrder.model_);
     if (loaded != server.models_.end() && aOrder.verb_ == PlacementVerb::Load) {
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -40,6 +40,8 @@
   WeightTier tier_ = WeightTier::Store;
   /// Expected duration.
   std::chrono::milliseconds expected_{ 0 };
+  /// Set by Decide.
+  std::uint64_t id_ = 0;
 };
 
 /// Models loaded on a server, as reported by itself or by the platform's list.
@@ -116,7 +118,8 @@
   /// Returns the orders to send now. OnOrderDone must follow for each.
   std::vector<PlacementOrder> Decide(core::MonotonicTime aNow);
   /// Reports the result of an order: it was carried out, or certainly will not
-  /// be. Not to be called while the outcome is uncertain.
+  /// be. Not to be called while the outcome is uncertain. Ignored when the
+  /// server has been removed since.
   void OnOrderDone(const PlacementOrder& aOrder,
                    bool aSucceeded,
                    core::MonotonicTime aNow);
@@ -256,6 +259,7 @@
   std::map<core::ModelName, ModelDemand> demandByModel_;
   /// Kept up to date while Decide plans.
   std::map<core::ModelName, Replicas> replicas_;
+  std::uint64_t lastOrderId_ = 0;
   core::MonotonicTime demandAt_;
   core::MonotonicTime orderRatesAt_;
   /// Expected ready times of models whose load is not planned yet: they wait
--- a/tests/ModelPlacementTest.cpp
+++ b/tests/ModelPlacementTest.cpp
@@ -481,4 +481,23 @@
   BOOST_TEST((loads[0].server_ == Server(2)));
 }
 
+BOOST_FIXTURE_TEST_CASE(DoesNotEndAnOrderToTheServerAfterItsReturn, Fixture)
+{
+  AddServerWith(1, { "m1", "m2" });
+  AddWaiting("m3");
+  now_ += 2s;
+  const auto first = Decide();
+  BOOST_REQUIRE(first.size() == 1U);
+  placement_.RemoveServer(Server(1));
+  AddServerWith(1, { "m1", "m2" });
+  now_ += 1s;
+  const auto second = Decide();
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_REQUIRE((second[0].verb_ == PlacementVerb::Unload));
+  placement_.OnOrderDone(first[0], true, now_);
+  BOOST_TEST(Decide().empty());
+  placement_.OnOrderDone(second[0], true, now_);
+  BOOST_TEST(LoadsOf(Decide(), "m3").size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
