Close kept connections also when a stop cuts a call

Cause: idle connections are closed during a stop once no call is unfinished. With a call that lasts to the end of the grace they stayed open until the loop had stopped: what their callers sent then was accepted and never read. The loop also waited there for the thread of the leader's calls, up to 1.5 s.

Change: idle connections are closed and their readers run before the loop stops, and it no longer waits for that thread, which the process does not need to end.

Result: PlannedStopTest, ClosesKeptConnectionsBesideAStreamThatItCuts: failed before, passes.

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -304,6 +304,10 @@
       CloseIdleConnections();
     }
   }
+  if (!callerLinks_.empty()) {
+    CloseIdleConnections();
+    co_await transport::Sleep(timer, kDrainPollInterval);
+  }
   core::Log(core::LogLevel::Info,
             "gateway stopped",
             { { "cut", std::to_string(activeCalls_) },
@@ -312,7 +316,6 @@
                   std::ranges::count_if(callerLinks_, [](const LinkPtr& aLink) {
                     return aLink->HasUnread();
                   })) } });
-  fleet_.Stop();
   loop_.stop();
 }
 
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -172,6 +172,44 @@
              0);
 }
 
+BOOST_FIXTURE_TEST_CASE(ClosesKeptConnectionsBesideAStreamThatItCuts, Fixture)
+{
+  StartServer("s1", StreamFor(kIdleCloseTime + 800ms));
+  StartServer("s2", StreamFor(kIdleCloseTime + 3s));
+  fleet_->SetOthersInFlight("s2", kServerSlots);
+  BOOST_TEST(Call("/safe/a").status_ == 200U);
+  entry::GatewaySettings settings = settings_;
+  settings.grace_ = 5000ms;
+  gateway_->Reload(settings);
+  KeptConnection caller(loop_);
+  KeptConnection cut(loop_);
+  bool begun = false;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    co_await caller.Connect(callerAddress_);
+    co_await caller.Send("/long/a");
+    co_await caller.ReadUntil("data: a");
+    fleet_->SetOthersInFlight("s1", kServerSlots);
+    fleet_->SetOthersInFlight("s2", 0);
+    transport::asio::steady_timer timer(loop_);
+    co_await transport::Sleep(timer, 200ms);
+    co_await cut.Connect(callerAddress_);
+    co_await cut.Send("/long/a");
+    co_await cut.ReadUntil("data: a");
+    gateway_->Drain();
+    begun = true;
+    co_await caller.ReadUntil("0\r\n\r\n");
+  });
+  RunUntil(begun);
+  const auto until = std::chrono::steady_clock::now() + kTestTimeout;
+  while (!loop_.stopped() && std::chrono::steady_clock::now() < until) {
+    loop_.run_for(10ms);
+  }
+  BOOST_REQUIRE(loop_.stopped());
+  char byte = 0;
+  BOOST_TEST(::recv(caller.socket_.native_handle(), &byte, 1, MSG_DONTWAIT) ==
+             0);
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusesALateRequestThatItMightCut, Fixture)
 {
   StartServer("s1", Respond(kSignedSuccess, "hello"));
