Do not take a resumed stream without an event for complete

Seen by callers: a stream that was resumed at a server which crashes before its first event, with an answer without length or chunks, ended as complete.

Cause: a close before the first event counted as a crash only in the first attempt.

Change: it does in every attempt. A resumption after the last event cannot be told from it, and ends as incomplete.

--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -237,7 +237,7 @@
     begun_ = begun_ || events.HasBegun();
     // A close before the first event is more likely a crash than an answer.
     const bool closedBeforeFirstEvent =
-      !events.HasBegun() && !lastEvent_ && aServer.EndsWithConnection();
+      !events.HasBegun() && aServer.EndsWithConnection();
     complete =
       part->empty() && events.Pending().empty() && !closedBeforeFirstEvent;
     if (!streaming_ && (complete || !wholeEvents.empty()) &&
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -279,6 +279,27 @@
   BOOST_TEST(Call("/stream/a").body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+BOOST_FIXTURE_TEST_CASE(IsNotCompleteWhenItsResumptionEndsWithoutAnEvent,
+                        Fixture)
+{
+  const RequestHandler handler = [&](transport::CallerLink& aLink,
+                                     const HttpRequest&) -> Task<void> {
+    if (arrivals_ > 1) {
+      co_await aLink.WriteRaw(kSignedHead + "\r\n");
+      aLink.Close();
+      co_return;
+    }
+    co_await aLink.WriteRaw(kSignedHead + "Transfer-Encoding: chunked\r\n\r\n" +
+                            Chunk("id: 1\ndata: a\n\n"));
+    aLink.Close();
+  };
+  StartServer("s1", handler);
+  StartServer("s2", handler);
+  // No whole answer.
+  BOOST_TEST(Call("/stream/a").status_ == 0U);
+  BOOST_TEST(arrivals_ == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(WaitsForAServerLongAfterItsArrival, Fixture)
 {
   StartServersOfBrokenStreams(3);
