Let a broken stream wait for a server also when none is known

Cause: the limit of 1 s for requests of a service without servers came before that of a stream that has begun.

Change: it holds only for requests that have not begun.

Result: ServerTroubleTest, PlannedStopTest and GatewayTest pass.

--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -29,7 +29,7 @@
   }
   const auto choiceStatus =
     gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
-  if (choiceStatus == BackendChoiceStatus::NoServer) {
+  if (choiceStatus == BackendChoiceStatus::NoServer && !streaming_) {
     return std::min(deadline_ - kPlainReserve, now + kNoServerTimeout);
   }
   core::MonotonicTime latest = deadline_ - kPlainReserve;
