Run the last handlers of calls before tests destroy their gateway

A case ends once its caller has the answer; the call's last handlers are still queued then, and the fixture destroyed the gateway before the loop that holds them. A process ends without destroying either. The same cause as in PlannedStopTest, now for all cases.

Change: the fixture runs the loop for 0.1 s first. No check is changed.

Result: with the address sanitizer, the suite AStreamOfAServer twelve times at once and ServerTroubleTest whole once: no report.

--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -28,6 +28,7 @@
 namespace http = transport::http;
 
 constexpr std::chrono::seconds kTestTimeout{ 10 };
+constexpr std::chrono::milliseconds kTeardownTime{ 100 };
 constexpr std::int32_t kServerSlots = 4;
 /// Between two events of StartServersOfBrokenStreams.
 constexpr std::chrono::milliseconds kEventInterval{ 900 };
@@ -246,6 +247,9 @@
   }
   ~GatewayFixture()
   {
+    // Calls refer to the gateway until their last handlers have run.
+    loop_.restart();
+    loop_.run_for(kTeardownTime);
     loop_.stop();
     gateway_.reset();
     rpc_->Stop();
