--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -187,6 +187,9 @@
     return;
   }
   routesVersion_ = version;
+  routesReadAt_ = clock_.Now();
+  routesTaken_.clear();
+  routesTakenByAll_ = false;
   auto services = readServices_(text);
   if (!services.Ok()) {
     core::Log(core::LogLevel::Error,
@@ -371,6 +374,27 @@
   table_.OnDemand(host, demand, aNow);
 }
 
+void
+FleetController::RecordRoutesTaken(const wire::SyncRequest& aRequest)
+{
+  const auto version = static_cast<std::uint64_t>(aRequest.routesVersion);
+  if (routesTakenByAll_ || version < routesVersion_) {
+    return;
+  }
+  routesTaken_.insert(core::HostId(aRequest.host));
+  if (routesTaken_.size() < table_.HostCount()) {
+    return;
+  }
+  routesTakenByAll_ = true;
+  core::Log(
+    core::LogLevel::Info,
+    "all hosts have the routes",
+    { { "version", std::to_string(routesVersion_) },
+      { "hosts", std::to_string(routesTaken_.size()) },
+      { "after_ms",
+        std::to_string(core::Milliseconds(clock_.Now() - routesReadAt_)) } });
+}
+
 void
 FleetController::TakeSuspects(const wire::SyncRequest& aRequest,
                               core::MonotonicTime aNow)
@@ -433,6 +457,7 @@
   const core::HostId host(aRequest.host);
   const core::Term term = term_;
   TakeReport(aRequest, clock_.Now());
+  RecordRoutesTaken(aRequest);
   TakeSuspects(aRequest, clock_.Now());
   TakePromptParts(aRequest, clock_.Now());
   const bool known = aRequest.epoch == static_cast<std::int64_t>(term.Value());
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -103,6 +103,8 @@
   void ShowModels();
   std::string AddressOf(const core::ServerId& aServer);
   void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
+  /// Logs the moment from which all hosts have the newest routes.
+  void RecordRoutesTaken(const wire::SyncRequest& aRequest);
   void TakeSuspects(const wire::SyncRequest& aRequest,
                     core::MonotonicTime aNow);
   void TakePromptParts(const wire::SyncRequest& aRequest,
@@ -146,6 +148,10 @@
   bool fenced_ = false;
   bool listed_ = false;
   std::uint64_t routesVersion_ = 0;
+  core::MonotonicTime routesReadAt_;
+  /// Hosts that have the newest routes, until all have them.
+  std::set<core::HostId> routesTaken_;
+  bool routesTakenByAll_ = false;
   coordination::FleetTable table_;
   coordination::ModelPlacement placement_;
   /// Requests after which servers broke the connections of several hosts.
--- a/tests/OperatorApiTest.cpp
+++ b/tests/OperatorApiTest.cpp
@@ -72,3 +72,24 @@
   BOOST_TEST(answer.find("Connection: close") != std::string::npos);
   BOOST_TEST(drained);
 }
+
+BOOST_FIXTURE_TEST_CASE(ACallWithoutALeaderIsCounted, Fixture)
+{
+  std::optional<unsigned> status;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    transport::HttpRequest request{ transport::http::verb::get,
+                                    "/config/read",
+                                    11 };
+    const auto answer =
+      co_await transport::CallOnce(loop_, address_, request, 5s);
+    status = answer.Ok() ? answer.Value().status_ : 0;
+  });
+  const auto until = std::chrono::steady_clock::now() + 10s;
+  while (!status && std::chrono::steady_clock::now() < until) {
+    loop_.run_for(10ms);
+  }
+  BOOST_TEST(status.value_or(0) == 503U);
+  BOOST_TEST(
+    metrics_.Text().find("crocusslip_operator_calls_unavailable_total 1") !=
+    std::string::npos);
+}
