--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -31,6 +31,8 @@
 /// Time for which a whole table of servers is sent to hosts; they get the
 /// changes since then with it.
 constexpr std::chrono::seconds kSharedTableTime{ 1 };
+/// Rates are sent as requests in 1,000 s.
+constexpr double kRateUnits = 1000;
 /// Servers lost by one request from which all hosts are told of it.
 constexpr std::uint32_t kToldServersLost = 2;
 
@@ -72,6 +74,10 @@
   out.tokens = load.tokens;
   out.suspect = load.suspect;
   out.memoryTokens = static_cast<std::int64_t>(aRow.memoryTokens_);
+  if (aRow.rateLimit_) {
+    out.rateLimitMilli =
+      std::max(1, static_cast<std::int32_t>(*aRow.rateLimit_ * kRateUnits));
+  }
   out.speedPercent = load.speedPercent;
   out.tokenNanos = load.tokenNanos;
   out.unreadTokens = load.unreadTokens;
@@ -114,6 +120,13 @@
                     "",
                     "1 while this process decides for the fleet.",
                     [this] { return group_.MayDecide() ? 1.0 : 0.0; });
+  aMetrics.AddGauge("crocusslip_rate_limited_servers",
+                    "",
+                    "Servers that have named a limit of requests a second.",
+                    [this] {
+                      const std::lock_guard lock(mutex_);
+                      return static_cast<double>(rateGrants_.Size());
+                    });
 }
 
 void
@@ -202,6 +215,7 @@
   listed_ = false;
   routesVersion_ = 0;
   table_ = {};
+  rateGrants_ = {};
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
@@ -275,6 +289,7 @@
           if (row.row_.state_ == coordination::BackendState::Gone) {
             placement_.RemoveServer(id);
             engines_.erase(id);
+            rateGrants_.Remove(id);
           }
           const auto limits = limits_.find(row.row_.service_);
           if (limits != limits_.end()) {
@@ -400,6 +415,15 @@
       out.active_.insert(core::ModelName(model));
     }
     const core::ServerId server(use.server);
+    if (use.rateLimitAgeMs >= 0 && table_.Rows().contains(server)) {
+      coordination::RateSighting sighting;
+      sighting.at_ = aNow - std::chrono::milliseconds(use.rateLimitAgeMs);
+      if (use.rateLimitMilli > 0) {
+        sighting.perSecond_ = use.rateLimitMilli / kRateUnits;
+      }
+      rateGrants_.OnSighting(server, sighting);
+      table_.SetRateLimit(server, rateGrants_.LimitOf(server));
+    }
     if (!use.missing.empty()) {
       table_.Republish(server);
       transport::Spawn(
@@ -440,6 +464,28 @@
         std::to_string(core::Milliseconds(clock_.Now() - routesReadAt_)) } });
 }
 
+bool
+FleetController::GrantRequests(const wire::SyncRequest& aRequest,
+                               wire::SyncReply& aReply,
+                               core::MonotonicTime aNow)
+{
+  for (const wire::ServerUse& use : aRequest.uses) {
+    if (use.wantedGrants <= 0) {
+      continue;
+    }
+    const std::uint32_t granted =
+      rateGrants_.Grant(core::ServerId(use.server),
+                        static_cast<std::uint32_t>(use.wantedGrants),
+                        aNow);
+    if (granted > 0) {
+      wire::RateGrant& out = aReply.grants.emplace_back();
+      out.server = use.server;
+      out.requests = static_cast<std::int32_t>(granted);
+    }
+  }
+  return !aReply.grants.empty();
+}
+
 void
 FleetController::TakeSuspects(const wire::SyncRequest& aRequest,
                               core::MonotonicTime aNow)
@@ -508,13 +554,17 @@
   const bool known = aRequest.epoch == static_cast<std::int64_t>(term.Value());
   const auto wait =
     std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
-  if (known) {
+  const bool granted = GrantRequests(aRequest, aReply, clock_.Now());
+  if (known && !granted) {
     AwaitChange(aRequest, wait, lock);
   }
   if (!group_.MayDecide() || term_ != group_.Term()) {
     aReply.leaderAddress = group_.LeaderAddress();
     return;
   }
+  if (!granted) {
+    GrantRequests(aRequest, aReply, clock_.Now());
+  }
   Fill(aRequest, aReply, clock_.Now());
   urgentSent_[host] = table_.UrgentVersion();
 }
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -6,6 +6,7 @@
 #include "coordination/FleetTable.hpp"
 #include "coordination/ModelPlacement.hpp"
 #include "coordination/PromptGuard.hpp"
+#include "coordination/RateGrants.hpp"
 #include "core/Clock.hpp"
 #include "core/Metrics.hpp"
 #include "protocol/ServerTableWire.hpp"
@@ -106,6 +107,11 @@
   void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
   /// Logs the moment from which all hosts have the newest routes.
   void RecordRoutesTaken(const wire::SyncRequest& aRequest);
+  /// Grants what the host wants of servers with a rate limit; false if nothing
+  /// is granted.
+  bool GrantRequests(const wire::SyncRequest& aRequest,
+                     wire::SyncReply& aReply,
+                     core::MonotonicTime aNow);
   void TakeSuspects(const wire::SyncRequest& aRequest,
                     core::MonotonicTime aNow);
   void TakePromptParts(const wire::SyncRequest& aRequest,
@@ -158,6 +164,7 @@
   std::set<core::HostId> routesTaken_;
   bool routesTakenByAll_ = false;
   coordination::FleetTable table_;
+  coordination::RateGrants rateGrants_;
   coordination::ModelPlacement placement_;
   /// Requests after which servers broke the connections of several hosts.
   coordination::CrashGuard guard_{ coordination::CrashGuardSettings{} };
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -37,6 +37,14 @@
 /// Maximum share of the longest accepted pause that prefill may take; the rest
 /// is for the decode steps of the runs.
 constexpr double kMaxPrefillShare = 0.8;
+/// Time in which a host's own sighting of a rate limit is preferred to the
+/// published one.
+constexpr std::chrono::seconds kOwnSightingTime{ 2 };
+/// Time in which grants must be used.
+constexpr std::chrono::seconds kGrantTime{ 1 };
+/// Without an answer of the control group for this long, a host sends its equal
+/// share of a limited rate without grants.
+constexpr std::chrono::seconds kControlSilence{ 1 };
 
 } // namespace
 
@@ -71,6 +79,14 @@
   if (!aRow.loadOnly_) {
     Server& server = servers_[aRow.server_];
     server.row_ = std::move(aRow);
+    const auto& sighting = server.usage_.sighting_;
+    const bool agree = sighting && sighting->perSecond_.has_value() ==
+                                     server.row_.rateLimit_.has_value();
+    const bool old =
+      sighting && controlContact_ - sighting->at_ > kOwnSightingTime;
+    if (!server.row_.rateLimit_ && (agree || old)) {
+      server.usage_.sighting_.reset();
+    }
     return;
   }
   const auto found = servers_.find(aRow.server_);
@@ -180,6 +196,93 @@
   return score;
 }
 
+std::optional<double>
+BackendView::RateLimitOf(const Server& aServer, core::MonotonicTime aNow)
+{
+  const auto& sighting = aServer.usage_.sighting_;
+  const bool recent = sighting && aNow - sighting->at_ < kOwnSightingTime;
+  return recent ? sighting->perSecond_ : aServer.row_.rateLimit_;
+}
+
+std::optional<double>
+BackendView::RateLimitOf(const core::ServerId& aServer,
+                         core::MonotonicTime aNow) const
+{
+  const auto found = servers_.find(aServer);
+  return found == servers_.end() ? std::nullopt
+                                 : RateLimitOf(found->second, aNow);
+}
+
+bool
+BackendView::HasGrant(const Server& aServer, core::MonotonicTime aNow)
+{
+  return aServer.grants_ > 0 && aNow < aServer.grantsUntil_;
+}
+
+bool
+BackendView::MayStart(const Server& aServer, core::MonotonicTime aNow) const
+{
+  const auto limit = RateLimitOf(aServer, aNow);
+  if (!limit || HasGrant(aServer, aNow)) {
+    return true;
+  }
+  const core::MonotonicTime since = std::max<core::MonotonicTime>(
+    controlContact_ + kControlSilence, aServer.startedWithoutGrant_);
+  return std::chrono::duration<double>(aNow - since).count() * *limit >= hosts_;
+}
+
+bool
+BackendView::OnRateSighting(const core::ServerId& aServer,
+                            const RateSighting& aSighting)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end()) {
+    return false;
+  }
+  Server& server = found->second;
+  const auto before = RateLimitOf(server, aSighting.at_);
+  const bool concerned = server.row_.rateLimit_ || server.usage_.sighting_;
+  if (aSighting.perSecond_ || concerned) {
+    server.usage_.sighting_ = aSighting;
+  }
+  return before != aSighting.perSecond_;
+}
+
+void
+BackendView::OnGrants(const core::ServerId& aServer,
+                      std::uint32_t aCount,
+                      core::MonotonicTime aNow)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end()) {
+    return;
+  }
+  Server& server = found->second;
+  server.grants_ = (HasGrant(server, aNow) ? server.grants_ : 0) + aCount;
+  server.grantsUntil_ = aNow + kGrantTime;
+}
+
+void
+BackendView::SpendGrant(const core::ServerId& aServer, core::MonotonicTime aNow)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end()) {
+    return;
+  }
+  if (HasGrant(found->second, aNow)) {
+    --found->second.grants_;
+  } else {
+    found->second.startedWithoutGrant_ = aNow;
+  }
+}
+
+void
+BackendView::OnControlContact(std::uint32_t aHosts, core::MonotonicTime aNow)
+{
+  hosts_ = std::max(1U, aHosts);
+  controlContact_ = aNow;
+}
+
 BackendChoice
 BackendView::Choose(const BackendRequirements& aRequirements,
                     core::MonotonicTime aNow,
@@ -188,6 +291,8 @@
   BackendChoice choice;
   const Server* best = nullptr;
   double bestScore = 0;
+  double bestGrantKey = 0;
+  double needsGrantScore = 0;
   const Server* lastResort = nullptr;
   for (const auto& [id, server] : servers_) {
     const BackendRow& row = server.row_;
@@ -203,7 +308,11 @@
         !row.models_.contains(aRequirements.model_)) {
       continue;
     }
+    const bool mayStart = MayStart(server, aNow);
     if (Ejected(server, aNow)) {
+      if (!mayStart) {
+        continue;
+      }
       if (lastResort == nullptr ||
           *server.ejectedUntil_ < *lastResort->ejectedUntil_) {
         lastResort = &server;
@@ -217,6 +326,17 @@
     // Jitter of up to 10% keeps hosts with the same view from choosing the same
     // server.
     const double score = Score(server, aNow) * (0.9 + 0.2 * aRandom.Uniform());
+    if (!mayStart) {
+      choice.status_ = BackendChoiceStatus::Full;
+      // Any of them may be the one with grants left.
+      const double key = score * aRandom.Uniform();
+      if (choice.needsGrant_.Empty() || key < bestGrantKey) {
+        choice.needsGrant_ = id;
+        bestGrantKey = key;
+        needsGrantScore = score;
+      }
+      continue;
+    }
     if (best == nullptr || score < bestScore) {
       best = &server;
       bestScore = score;
@@ -229,6 +349,9 @@
     best = lastResort;
   }
   if (best != nullptr) {
+    if (bestScore <= needsGrantScore) {
+      choice.needsGrant_ = core::ServerId();
+    }
     choice.status_ = BackendChoiceStatus::Found;
     choice.server_ = best->row_.server_;
     choice.address_ = best->row_.address_;
@@ -345,7 +468,8 @@
     Usage& use = server.usage_;
     const bool idle = use.inFlight_ == 0 && use.failures_ == 0 &&
                       use.successes_ == 0 && use.unreachable_ == 0 &&
-                      use.prompts_.runs_ == 0 && use.missing_.empty();
+                      use.prompts_.runs_ == 0 && use.missing_.empty() &&
+                      !use.sighting_;
     if (!idle) {
       uses[id] = use;
     }
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/RateGrants.hpp"
 #include "coordination/RouteTable.hpp"
 #include "core/Clock.hpp"
 #include "core/Ids.hpp"
@@ -47,6 +48,8 @@
   std::uint64_t othersPrefillTokens_ = 0;
   /// Several hosts recently had failures on it.
   bool suspect_ = false;
+  /// Requests per second that it takes from all hosts together, if limited.
+  std::optional<double> rateLimit_;
   /// Only the server's id and its figures of load, speed and suspicion are set;
   /// the rest is as in the row before.
   bool loadOnly_ = false;
@@ -115,6 +118,9 @@
   BackendChoiceStatus status_ = BackendChoiceStatus::NoServer;
   core::ServerId server_;
   std::string address_;
+  /// A server that suits better than the chosen one, but needs a grant first;
+  /// empty if there is none.
+  core::ServerId needsGrant_;
 };
 
 /// One host's view of the backend servers: the state published by the control
@@ -154,6 +160,21 @@
   /// missing there until the next Update that lists it.
   void OnModelMissing(const core::ServerId& aServer,
                       const core::ModelName& aModel);
+  /// Takes over what an answer of the server said about its rate limit. Returns
+  /// whether that changes the limit.
+  bool OnRateSighting(const core::ServerId& aServer,
+                      const RateSighting& aSighting);
+  /// The control group allows this many more requests to a limited server.
+  void OnGrants(const core::ServerId& aServer,
+                std::uint32_t aCount,
+                core::MonotonicTime aNow);
+  /// A request to the server begins: uses up one of its grants.
+  void SpendGrant(const core::ServerId& aServer, core::MonotonicTime aNow);
+  /// The control group has answered, and knows this many hosts.
+  void OnControlContact(std::uint32_t aHosts, core::MonotonicTime aNow);
+  /// The rate that a server is limited to.
+  std::optional<double> RateLimitOf(const core::ServerId& aServer,
+                                    core::MonotonicTime aNow) const;
 
   /// Own use of a server: current requests and tokens, and counts since the
   /// last TakeUsage.
@@ -167,6 +188,8 @@
     PromptTimeSums prompts_;
     std::uint64_t prefillTokens_ = 0;
     std::vector<core::ModelName> missing_;
+    /// The last sighting, while it concerns a limit.
+    std::optional<RateSighting> sighting_;
   };
   /// Returns the usage of servers that have any; resets outcomes, prompt times
   /// and missing models.
@@ -189,6 +212,10 @@
     std::uint32_t failuresInRow_ = 0;
     std::optional<core::MonotonicTime> ejectedUntil_;
     core::Duration ejectionTime_{ 0 };
+    std::uint32_t grants_ = 0;
+    core::MonotonicTime grantsUntil_;
+    /// Start of the last request without a grant.
+    core::MonotonicTime startedWithoutGrant_;
   };
 
   bool Ejected(const Server& aServer, core::MonotonicTime aNow) const;
@@ -199,9 +226,17 @@
   bool HasCapacity(const Server& aServer,
                    const BackendRequirements& aRequirements) const;
   double Score(const Server& aServer, core::MonotonicTime aNow) const;
+  static std::optional<double> RateLimitOf(const Server& aServer,
+                                           core::MonotonicTime aNow);
+  static bool HasGrant(const Server& aServer, core::MonotonicTime aNow);
+  /// Whether the server's rate limit allows another request now.
+  bool MayStart(const Server& aServer, core::MonotonicTime aNow) const;
 
   const core::FailureDomainId ownDomain_;
   std::map<core::ServerId, Server> servers_;
+  /// Number of hosts, and time of the last answer of the control group.
+  std::uint32_t hosts_ = 1;
+  core::MonotonicTime controlContact_;
 };
 
 } // namespace crocusslip::coordination
--- a/coordination/DispatchQueue.cpp
+++ b/coordination/DispatchQueue.cpp
@@ -17,6 +17,7 @@
 DispatchQueue::Remove(Id aId)
 {
   waiting_.erase(aId);
+  needGrants_.erase(aId);
 }
 
 std::vector<DispatchQueue::Grant>
@@ -34,12 +35,22 @@
     return std::pair(aEntry.second->priority_, aEntry.second->waitingSince_);
   });
   std::vector<Grant> grants;
+  needGrants_.clear();
   for (const auto& [id, request] : order) {
     const BackendChoice choice = aView.Choose(request->need_, aNow, aRandom);
     if (choice.status_ == BackendChoiceStatus::Found) {
       aView.OnStart(choice.server_, request->need_);
+      aView.SpendGrant(choice.server_, aNow);
       grants.push_back({ id, choice });
     }
+    if (choice.needsGrant_.Empty()) {
+      continue;
+    }
+    if (choice.status_ == BackendChoiceStatus::Found) {
+      preferred_.insert(choice.needsGrant_);
+    } else {
+      needGrants_[id] = choice.needsGrant_;
+    }
   }
   for (const Grant& grant : grants) {
     waiting_.erase(grant.id_);
@@ -47,4 +58,18 @@
   return grants;
 }
 
+std::map<core::ServerId, std::uint32_t>
+DispatchQueue::TakeWantedGrants()
+{
+  std::map<core::ServerId, std::uint32_t> wanted;
+  for (const core::ServerId& server : preferred_) {
+    wanted[server] = 1;
+  }
+  preferred_.clear();
+  for (const auto& [id, server] : needGrants_) {
+    ++wanted[server];
+  }
+  return wanted;
+}
+
 } // namespace crocusslip::coordination
--- a/coordination/DispatchQueue.hpp
+++ b/coordination/DispatchQueue.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace crocusslip::coordination {
@@ -42,11 +43,21 @@
   std::vector<Grant> Assign(BackendView& aView,
                             core::MonotonicTime aNow,
                             core::Random& aRandom);
+  /// Grants that the last Assign lacked: one for each waiting request, and one
+  /// for each server that would have suited a request better than its own since
+  /// the last call.
+  std::map<core::ServerId, std::uint32_t> TakeWantedGrants();
+  /// Whether a waiting request lacks a grant.
+  bool LacksGrants() const { return !needGrants_.empty(); }
   std::size_t Size() const { return waiting_.size(); }
   const std::map<Id, QueuedRequest>& All() const { return waiting_; }
 
 private:
   std::map<Id, QueuedRequest> waiting_;
+  /// Servers whose grants waiting requests need, by request.
+  std::map<Id, core::ServerId> needGrants_;
+  /// Servers that would have suited granted requests better.
+  std::set<core::ServerId> preferred_;
   Id nextId_ = 1;
 };
 
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -409,6 +409,24 @@
   }
 }
 
+void
+FleetTable::SetRateLimit(const core::ServerId& aServer,
+                         std::optional<double> aPerSecond)
+{
+  const auto found = rows_.find(aServer);
+  if (found == rows_.end() || found->second.row_.rateLimit_ == aPerSecond) {
+    return;
+  }
+  Row& row = found->second;
+  const bool begins = !row.row_.rateLimit_ || !aPerSecond;
+  row.row_.rateLimit_ = aPerSecond;
+  if (begins) {
+    MarkUrgentlyChanged(row);
+  } else {
+    MarkFactsChanged(row);
+  }
+}
+
 std::vector<BackendRow>
 FleetTable::RowsFor(const core::HostId& aHost, std::uint64_t aSeen) const
 {
--- a/coordination/FleetTable.hpp
+++ b/coordination/FleetTable.hpp
@@ -81,6 +81,10 @@
   /// Sets the tokens that fit into the server's memory.
   void SetTokenCapacity(const core::ServerId& aServer, std::uint64_t aTokens);
 
+  /// Sets the rate that the server is limited to.
+  void SetRateLimit(const core::ServerId& aServer,
+                    std::optional<double> aPerSecond);
+
   /// Grows with each change of a row.
   std::uint64_t Version() const { return version_; }
   /// Grows only with changes that hosts must be sent at once: all except load,
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -113,6 +113,9 @@
     const std::vector<coordination::PromptPart>& aParts);
   /// Records the first event of a request with a prompt.
   void RecordStarted(const std::vector<coordination::PromptPart>& aParts);
+  /// Takes over what the head of a server's answer says about the server.
+  void OnAnswerHead(const core::ServerId& aServer,
+                    const transport::AnswerHead& aHead);
   /// Records that the request ran to its end.
   void RecordCompleted(const core::Digest& aFingerprint);
   /// Reports to a new leader what this host knows of crashes.
@@ -124,6 +127,8 @@
   std::optional<core::MonotonicTime> ExpectedReadyTime(
     const core::ModelName& aModel) const;
 
+  /// Whether the server of a waiting call lacks a grant.
+  bool LacksGrants() const { return queue_.LacksGrants(); }
   /// Assigns free server slots to waiting calls.
   void AssignSlots();
   coordination::SharedRetryBudget& RetryBudgetFor(
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -104,6 +104,7 @@
 {
   const protocol::CallHeaders& names = gateway_.settings_.headers_;
   const core::Duration time = gateway_.clock_.Now() - sentAt_;
+  gateway_.OnAnswerHead(choice_.server_, aHead);
   const bool notRun =
     aHead.status_ == 421 || !aHead.fields_[names.notRun_].empty();
   if (notRun) {
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -97,9 +97,10 @@
     if (!latest) {
       break;
     }
-    if (gateway_.models_.contains(requirements_.model_)) {
+    if (gateway_.models_.contains(requirements_.model_) ||
+        gateway_.LacksGrants()) {
       // Report the waiting call at once, so that the control group can decide
-      // whether to load the model.
+      // whether to load the model, or grant the request.
       gateway_.fleet_.SyncNow();
     }
     const core::Duration time = *latest - gateway_.clock_.Now();
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -8,6 +8,8 @@
 #include "protocol/ServerTableWire.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace crocusslip::entry {
@@ -27,6 +29,10 @@
 /// A first event longer ago is not reported: it may be from before the part
 /// began to crash servers.
 constexpr std::chrono::milliseconds kMaxStartAge{ 1500 };
+/// Rates are sent as requests in 1,000 s.
+constexpr double kRateUnits = 1000;
+/// Highest rate limit, in requests per second, that is told apart from none.
+constexpr double kMaxRateLimit = 1e6;
 
 std::vector<std::int64_t>
 ToWireParts(const auto& aParts)
@@ -58,6 +64,28 @@
   aRow.suspect_ = aFigures.suspect;
 }
 
+/// Parses a rate limit; nullopt if it is no number or no limit.
+std::optional<double>
+ParseRateLimit(std::string_view aText)
+{
+  double rate = 0;
+  const auto parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), rate);
+  const bool valid = parsed.ec == std::errc() &&
+                     parsed.ptr == aText.data() + aText.size() && rate >= 0 &&
+                     rate < kMaxRateLimit;
+  return valid ? std::optional(rate) : std::nullopt;
+}
+
+/// 0 stands for no limit on the wire, so that a rate below the unit is rounded
+/// up to it.
+std::int32_t
+ToWireRate(const std::optional<double>& aRate)
+{
+  return aRate ? std::max(1, static_cast<std::int32_t>(*aRate * kRateUnits))
+               : 0;
+}
+
 } // namespace
 
 wire::SyncRequest
@@ -73,8 +101,19 @@
   request.takesTable = true;
   request.routesVersion =
     routes_ ? static_cast<std::int64_t>(routes_->Version()) : 0;
-  for (const auto& [id, use] : view_.TakeUsage()) {
+  std::map<core::ServerId, std::uint32_t> wanted = queue_.TakeWantedGrants();
+  auto usage = view_.TakeUsage();
+  for (const auto& [id, count] : wanted) {
+    usage.try_emplace(id);
+  }
+  for (const auto& [id, use] : usage) {
     wire::ServerUse out;
+    out.wantedGrants = static_cast<std::int32_t>(wanted[id]);
+    if (use.sighting_) {
+      out.rateLimitMilli = ToWireRate(use.sighting_->perSecond_);
+      out.rateLimitAgeMs = static_cast<std::int32_t>(
+        core::Milliseconds(clock_.Now() - use.sighting_->at_));
+    }
     out.server = id.Value();
     out.inFlight = static_cast<std::int32_t>(use.inFlight_);
     out.tokens = static_cast<std::int64_t>(use.tokens_);
@@ -167,6 +206,12 @@
     }
   }
   const core::MonotonicTime now = clock_.Now();
+  view_.OnControlContact(hosts_, now);
+  for (const wire::RateGrant& grant : aReply.grants) {
+    view_.OnGrants(core::ServerId(grant.server),
+                   static_cast<std::uint32_t>(std::max(0, grant.requests)),
+                   now);
+  }
   expectedReady_.clear();
   for (const wire::ComingModel& model : aReply.coming) {
     expectedReady_[core::ModelName(model.model)] =
@@ -282,6 +327,37 @@
                                         : std::optional(coming->second);
 }
 
+void
+Gateway::OnAnswerHead(const core::ServerId& aServer,
+                      const transport::AnswerHead& aHead)
+{
+  if (settings_.headers_.rateLimit_.empty()) {
+    return;
+  }
+  const auto field = aHead.fields_.find(settings_.headers_.rateLimit_);
+  const bool named = field != aHead.fields_.end();
+  coordination::RateSighting sighting{ std::nullopt, clock_.Now() };
+  if (named) {
+    const auto text = field->value();
+    sighting.perSecond_ = ParseRateLimit({ text.data(), text.size() });
+    if (!sighting.perSecond_) {
+      core::Log(
+        core::LogLevel::Warning,
+        "rate limit of a server can't be read",
+        { { "server", aServer.Value() }, { "limit", std::string(text) } });
+      return;
+    }
+  }
+  if (view_.OnRateSighting(aServer, sighting)) {
+    core::Log(core::LogLevel::Info,
+              "rate limit of a server changed",
+              { { "server", aServer.Value() },
+                { "per_second",
+                  sighting.perSecond_ ? std::to_string(*sighting.perSecond_)
+                                      : "none" } });
+  }
+}
+
 void
 Gateway::RecordCompleted(const core::Digest& aFingerprint)
 {
@@ -391,6 +467,9 @@
   for (const std::string& model : aRow.models) {
     out.models_.insert(core::ModelName(model));
   }
+  if (aRow.rateLimitMilli > 0) {
+    out.rateLimit_ = aRow.rateLimitMilli / kRateUnits;
+  }
   SetLoad(out, aRow);
   if (out.state_ == coordination::BackendState::Gone) {
     pool_.Drop(out.server_);
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -73,6 +73,18 @@
 void ServerUse::__set_unreadTokens(const int64_t val) {
   this->unreadTokens = val;
 }
+
+void ServerUse::__set_rateLimitMilli(const int32_t val) {
+  this->rateLimitMilli = val;
+}
+
+void ServerUse::__set_rateLimitAgeMs(const int32_t val) {
+  this->rateLimitAgeMs = val;
+}
+
+void ServerUse::__set_wantedGrants(const int32_t val) {
+  this->wantedGrants = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj)
 {
   obj.printTo(out);
@@ -237,6 +249,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rateLimitMilli);
+          this->__isset.rateLimitMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rateLimitAgeMs);
+          this->__isset.rateLimitAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wantedGrants);
+          this->__isset.wantedGrants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -326,6 +362,18 @@
   xfer += oprot->writeI64(this->unreadTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rateLimitMilli", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->rateLimitMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rateLimitAgeMs", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->rateLimitAgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantedGrants", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->wantedGrants);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -347,6 +395,9 @@
   swap(a.tokensSquared, b.tokensSquared);
   swap(a.tokensMicros, b.tokensMicros);
   swap(a.unreadTokens, b.unreadTokens);
+  swap(a.rateLimitMilli, b.rateLimitMilli);
+  swap(a.rateLimitAgeMs, b.rateLimitAgeMs);
+  swap(a.wantedGrants, b.wantedGrants);
   swap(a.__isset, b.__isset);
 }
 
@@ -365,6 +416,9 @@
   tokensSquared = other12.tokensSquared;
   tokensMicros = other12.tokensMicros;
   unreadTokens = other12.unreadTokens;
+  rateLimitMilli = other12.rateLimitMilli;
+  rateLimitAgeMs = other12.rateLimitAgeMs;
+  wantedGrants = other12.wantedGrants;
   __isset = other12.__isset;
 }
 ServerUse& ServerUse::operator=(const ServerUse& other13) {
@@ -382,6 +436,9 @@
   tokensSquared = other13.tokensSquared;
   tokensMicros = other13.tokensMicros;
   unreadTokens = other13.unreadTokens;
+  rateLimitMilli = other13.rateLimitMilli;
+  rateLimitAgeMs = other13.rateLimitAgeMs;
+  wantedGrants = other13.wantedGrants;
   __isset = other13.__isset;
   return *this;
 }
@@ -402,6 +459,9 @@
   out << ", " << "tokensSquared=" << to_string(tokensSquared);
   out << ", " << "tokensMicros=" << to_string(tokensMicros);
   out << ", " << "unreadTokens=" << to_string(unreadTokens);
+  out << ", " << "rateLimitMilli=" << to_string(rateLimitMilli);
+  out << ", " << "rateLimitAgeMs=" << to_string(rateLimitAgeMs);
+  out << ", " << "wantedGrants=" << to_string(wantedGrants);
   out << ")";
 }
 
@@ -1589,6 +1649,10 @@
 void ServerRow::__set_unreadTokens(const int64_t val) {
   this->unreadTokens = val;
 }
+
+void ServerRow::__set_rateLimitMilli(const int32_t val) {
+  this->rateLimitMilli = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRow& obj)
 {
   obj.printTo(out);
@@ -1761,6 +1825,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rateLimitMilli);
+          this->__isset.rateLimitMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1854,6 +1926,10 @@
   xfer += oprot->writeI64(this->unreadTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("rateLimitMilli", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->rateLimitMilli);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1876,6 +1952,7 @@
   swap(a.speedPercent, b.speedPercent);
   swap(a.tokenNanos, b.tokenNanos);
   swap(a.unreadTokens, b.unreadTokens);
+  swap(a.rateLimitMilli, b.rateLimitMilli);
   swap(a.__isset, b.__isset);
 }
 
@@ -1895,6 +1972,7 @@
   speedPercent = other78.speedPercent;
   tokenNanos = other78.tokenNanos;
   unreadTokens = other78.unreadTokens;
+  rateLimitMilli = other78.rateLimitMilli;
   __isset = other78.__isset;
 }
 ServerRow& ServerRow::operator=(const ServerRow& other79) {
@@ -1913,6 +1991,7 @@
   speedPercent = other79.speedPercent;
   tokenNanos = other79.tokenNanos;
   unreadTokens = other79.unreadTokens;
+  rateLimitMilli = other79.rateLimitMilli;
   __isset = other79.__isset;
   return *this;
 }
@@ -1934,6 +2013,7 @@
   out << ", " << "speedPercent=" << to_string(speedPercent);
   out << ", " << "tokenNanos=" << to_string(tokenNanos);
   out << ", " << "unreadTokens=" << to_string(unreadTokens);
+  out << ", " << "rateLimitMilli=" << to_string(rateLimitMilli);
   out << ")";
 }
 
@@ -2262,6 +2342,118 @@
 }
 
 
+RateGrant::~RateGrant() noexcept {
+}
+
+
+void RateGrant::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void RateGrant::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const RateGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RateGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RateGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RateGrant");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RateGrant &a, RateGrant &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+RateGrant::RateGrant(const RateGrant& other90) {
+  server = other90.server;
+  requests = other90.requests;
+  __isset = other90.__isset;
+}
+RateGrant& RateGrant::operator=(const RateGrant& other91) {
+  server = other91.server;
+  requests = other91.requests;
+  __isset = other91.__isset;
+  return *this;
+}
+void RateGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RateGrant(";
+  out << "server=" << to_string(server);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
 ComingModel::~ComingModel() noexcept {
 }
 
@@ -2354,15 +2546,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other90) {
-  model = other90.model;
-  readyInMs = other90.readyInMs;
-  __isset = other90.__isset;
+ComingModel::ComingModel(const ComingModel& other92) {
+  model = other92.model;
+  readyInMs = other92.readyInMs;
+  __isset = other92.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other91) {
-  model = other91.model;
-  readyInMs = other91.readyInMs;
-  __isset = other91.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other93) {
+  model = other93.model;
+  readyInMs = other93.readyInMs;
+  __isset = other93.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -2446,6 +2638,10 @@
   this->crashEpoch = val;
 }
 
+void SyncReply::__set_grants(const std::vector<RateGrant> & val) {
+  this->grants = val;
+}
+
 void SyncReply::__set_compressedTable(const std::string& val) {
   this->compressedTable = val;
 }
@@ -2525,14 +2721,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->rows.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->rows.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->rows[_i96].read(iprot);
+              xfer += this->rows[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2561,14 +2757,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->members.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->members.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->members[_i101]);
+              xfer += iprot->readString(this->members[_i103]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2589,14 +2785,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->coming.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->coming.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->coming[_i106].read(iprot);
+              xfer += this->coming[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2609,14 +2805,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->suspects.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->suspects.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->suspects[_i111].read(iprot);
+              xfer += this->suspects[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2629,14 +2825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->loads.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->loads.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->loads[_i116].read(iprot);
+              xfer += this->loads[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2665,14 +2861,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->heldParts.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->heldParts.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += iprot->readI64(this->heldParts[_i121]);
+              xfer += iprot->readI64(this->heldParts[_i123]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2689,6 +2885,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->grants.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
+            {
+              xfer += this->grants[_i128].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 20:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readBinary(this->compressedTable);
@@ -2745,10 +2961,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter122;
-    for (_iter122 = this->rows.begin(); _iter122 != this->rows.end(); ++_iter122)
+    std::vector<ServerRow> ::const_iterator _iter129;
+    for (_iter129 = this->rows.begin(); _iter129 != this->rows.end(); ++_iter129)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2765,10 +2981,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter123;
-    for (_iter123 = this->members.begin(); _iter123 != this->members.end(); ++_iter123)
+    std::vector<std::string> ::const_iterator _iter130;
+    for (_iter130 = this->members.begin(); _iter130 != this->members.end(); ++_iter130)
     {
-      xfer += oprot->writeString((*_iter123));
+      xfer += oprot->writeString((*_iter130));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2781,10 +2997,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter124;
-    for (_iter124 = this->coming.begin(); _iter124 != this->coming.end(); ++_iter124)
+    std::vector<ComingModel> ::const_iterator _iter131;
+    for (_iter131 = this->coming.begin(); _iter131 != this->coming.end(); ++_iter131)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2793,10 +3009,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter125;
-    for (_iter125 = this->suspects.begin(); _iter125 != this->suspects.end(); ++_iter125)
+    std::vector<Suspect> ::const_iterator _iter132;
+    for (_iter132 = this->suspects.begin(); _iter132 != this->suspects.end(); ++_iter132)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2805,10 +3021,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter126;
-    for (_iter126 = this->loads.begin(); _iter126 != this->loads.end(); ++_iter126)
+    std::vector<ServerLoad> ::const_iterator _iter133;
+    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2825,10 +3041,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter127;
-    for (_iter127 = this->heldParts.begin(); _iter127 != this->heldParts.end(); ++_iter127)
+    std::vector<int64_t> ::const_iterator _iter134;
+    for (_iter134 = this->heldParts.begin(); _iter134 != this->heldParts.end(); ++_iter134)
     {
-      xfer += oprot->writeI64((*_iter127));
+      xfer += oprot->writeI64((*_iter134));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2838,6 +3054,18 @@
   xfer += oprot->writeI64(this->crashEpoch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<RateGrant> ::const_iterator _iter135;
+    for (_iter135 = this->grants.begin(); _iter135 != this->grants.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldBegin("compressedTable", ::apache::thrift::protocol::T_STRING, 20);
   xfer += oprot->writeBinary(this->compressedTable);
   xfer += oprot->writeFieldEnd();
@@ -2870,54 +3098,57 @@
   swap(a.routesBytes, b.routesBytes);
   swap(a.heldParts, b.heldParts);
   swap(a.crashEpoch, b.crashEpoch);
+  swap(a.grants, b.grants);
   swap(a.compressedTable, b.compressedTable);
   swap(a.tableBytes, b.tableBytes);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other128) {
-  leader = other128.leader;
-  leaderAddress = other128.leaderAddress;
-  epoch = other128.epoch;
-  seen = other128.seen;
-  complete = other128.complete;
-  rows = other128.rows;
-  routesVersion = other128.routesVersion;
-  routes = other128.routes;
-  members = other128.members;
-  hosts = other128.hosts;
-  coming = other128.coming;
-  suspects = other128.suspects;
-  loads = other128.loads;
-  compressedRoutes = other128.compressedRoutes;
-  routesBytes = other128.routesBytes;
-  heldParts = other128.heldParts;
-  crashEpoch = other128.crashEpoch;
-  compressedTable = other128.compressedTable;
-  tableBytes = other128.tableBytes;
-  __isset = other128.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other129) {
-  leader = other129.leader;
-  leaderAddress = other129.leaderAddress;
-  epoch = other129.epoch;
-  seen = other129.seen;
-  complete = other129.complete;
-  rows = other129.rows;
-  routesVersion = other129.routesVersion;
-  routes = other129.routes;
-  members = other129.members;
-  hosts = other129.hosts;
-  coming = other129.coming;
-  suspects = other129.suspects;
-  loads = other129.loads;
-  compressedRoutes = other129.compressedRoutes;
-  routesBytes = other129.routesBytes;
-  heldParts = other129.heldParts;
-  crashEpoch = other129.crashEpoch;
-  compressedTable = other129.compressedTable;
-  tableBytes = other129.tableBytes;
-  __isset = other129.__isset;
+SyncReply::SyncReply(const SyncReply& other136) {
+  leader = other136.leader;
+  leaderAddress = other136.leaderAddress;
+  epoch = other136.epoch;
+  seen = other136.seen;
+  complete = other136.complete;
+  rows = other136.rows;
+  routesVersion = other136.routesVersion;
+  routes = other136.routes;
+  members = other136.members;
+  hosts = other136.hosts;
+  coming = other136.coming;
+  suspects = other136.suspects;
+  loads = other136.loads;
+  compressedRoutes = other136.compressedRoutes;
+  routesBytes = other136.routesBytes;
+  heldParts = other136.heldParts;
+  crashEpoch = other136.crashEpoch;
+  grants = other136.grants;
+  compressedTable = other136.compressedTable;
+  tableBytes = other136.tableBytes;
+  __isset = other136.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other137) {
+  leader = other137.leader;
+  leaderAddress = other137.leaderAddress;
+  epoch = other137.epoch;
+  seen = other137.seen;
+  complete = other137.complete;
+  rows = other137.rows;
+  routesVersion = other137.routesVersion;
+  routes = other137.routes;
+  members = other137.members;
+  hosts = other137.hosts;
+  coming = other137.coming;
+  suspects = other137.suspects;
+  loads = other137.loads;
+  compressedRoutes = other137.compressedRoutes;
+  routesBytes = other137.routesBytes;
+  heldParts = other137.heldParts;
+  crashEpoch = other137.crashEpoch;
+  grants = other137.grants;
+  compressedTable = other137.compressedTable;
+  tableBytes = other137.tableBytes;
+  __isset = other137.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -2940,6 +3171,7 @@
   out << ", " << "routesBytes=" << to_string(routesBytes);
   out << ", " << "heldParts=" << to_string(heldParts);
   out << ", " << "crashEpoch=" << to_string(crashEpoch);
+  out << ", " << "grants=" << to_string(grants);
   out << ", " << "compressedTable=" << to_string(compressedTable);
   out << ", " << "tableBytes=" << to_string(tableBytes);
   out << ")";
@@ -3072,19 +3304,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other130) {
-  address = other130.address;
-  failureDomain = other130.failureDomain;
-  disk = other130.disk;
-  member = other130.member;
-  __isset = other130.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other138) {
+  address = other138.address;
+  failureDomain = other138.failureDomain;
+  disk = other138.disk;
+  member = other138.member;
+  __isset = other138.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other131) {
-  address = other131.address;
-  failureDomain = other131.failureDomain;
-  disk = other131.disk;
-  member = other131.member;
-  __isset = other131.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other139) {
+  address = other139.address;
+  failureDomain = other139.failureDomain;
+  disk = other139.disk;
+  member = other139.member;
+  __isset = other139.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -3177,14 +3409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->members.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->members.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->members[_i136]);
+              xfer += iprot->readString(this->members[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3197,14 +3429,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->memberIds.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->memberIds.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += iprot->readI32(this->memberIds[_i141]);
+              xfer += iprot->readI32(this->memberIds[_i149]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3245,10 +3477,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter142;
-    for (_iter142 = this->members.begin(); _iter142 != this->members.end(); ++_iter142)
+    std::vector<std::string> ::const_iterator _iter150;
+    for (_iter150 = this->members.begin(); _iter150 != this->members.end(); ++_iter150)
     {
-      xfer += oprot->writeString((*_iter142));
+      xfer += oprot->writeString((*_iter150));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3257,10 +3489,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter143;
-    for (_iter143 = this->memberIds.begin(); _iter143 != this->memberIds.end(); ++_iter143)
+    std::vector<int32_t> ::const_iterator _iter151;
+    for (_iter151 = this->memberIds.begin(); _iter151 != this->memberIds.end(); ++_iter151)
     {
-      xfer += oprot->writeI32((*_iter143));
+      xfer += oprot->writeI32((*_iter151));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3281,21 +3513,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other144) {
-  leader = other144.leader;
-  leaderAddress = other144.leaderAddress;
-  member = other144.member;
-  members = other144.members;
-  memberIds = other144.memberIds;
-  __isset = other144.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other145) {
-  leader = other145.leader;
-  leaderAddress = other145.leaderAddress;
-  member = other145.member;
-  members = other145.members;
-  memberIds = other145.memberIds;
-  __isset = other145.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other152) {
+  leader = other152.leader;
+  leaderAddress = other152.leaderAddress;
+  member = other152.member;
+  members = other152.members;
+  memberIds = other152.memberIds;
+  __isset = other152.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other153) {
+  leader = other153.leader;
+  leaderAddress = other153.leaderAddress;
+  member = other153.member;
+  members = other153.members;
+  memberIds = other153.memberIds;
+  __isset = other153.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -39,6 +39,8 @@
 
 class ServerTable;
 
+class RateGrant;
+
 class ComingModel;
 
 class SyncReply;
@@ -48,7 +50,7 @@
 class JoinAnswer;
 
 typedef struct _ServerUse__isset {
-  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false), promptRuns(false), tokensSquared(false), tokensMicros(false), unreadTokens(false) {}
+  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false), promptRuns(false), tokensSquared(false), tokensMicros(false), unreadTokens(false), rateLimitMilli(false), rateLimitAgeMs(true), wantedGrants(false) {}
   bool server :1;
   bool inFlight :1;
   bool tokens :1;
@@ -63,6 +65,9 @@
   bool tokensSquared :1;
   bool tokensMicros :1;
   bool unreadTokens :1;
+  bool rateLimitMilli :1;
+  bool rateLimitAgeMs :1;
+  bool wantedGrants :1;
 } _ServerUse__isset;
 
 class ServerUse : public virtual ::apache::thrift::TBase {
@@ -82,7 +87,10 @@
               promptRuns(0),
               tokensSquared(0),
               tokensMicros(0),
-              unreadTokens(0) {
+              unreadTokens(0),
+              rateLimitMilli(0),
+              rateLimitAgeMs(-1),
+              wantedGrants(0) {
   }
 
   virtual ~ServerUse() noexcept;
@@ -100,6 +108,9 @@
   double tokensSquared;
   double tokensMicros;
   int64_t unreadTokens;
+  int32_t rateLimitMilli;
+  int32_t rateLimitAgeMs;
+  int32_t wantedGrants;
 
   _ServerUse__isset __isset;
 
@@ -131,6 +142,12 @@
 
   void __set_unreadTokens(const int64_t val);
 
+  void __set_rateLimitMilli(const int32_t val);
+
+  void __set_rateLimitAgeMs(const int32_t val);
+
+  void __set_wantedGrants(const int32_t val);
+
   bool operator == (const ServerUse & rhs) const
   {
     if (!(server == rhs.server))
@@ -161,6 +178,12 @@
       return false;
     if (!(unreadTokens == rhs.unreadTokens))
       return false;
+    if (!(rateLimitMilli == rhs.rateLimitMilli))
+      return false;
+    if (!(rateLimitAgeMs == rhs.rateLimitAgeMs))
+      return false;
+    if (!(wantedGrants == rhs.wantedGrants))
+      return false;
     return true;
   }
   bool operator != (const ServerUse &rhs) const {
@@ -568,7 +591,7 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _ServerRow__isset {
-  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false), tokenNanos(false), unreadTokens(false) {}
+  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false), tokenNanos(false), unreadTokens(false), rateLimitMilli(false) {}
   bool server :1;
   bool address :1;
   bool serviceName :1;
@@ -584,6 +607,7 @@
   bool speedPercent :1;
   bool tokenNanos :1;
   bool unreadTokens :1;
+  bool rateLimitMilli :1;
 } _ServerRow__isset;
 
 class ServerRow : public virtual ::apache::thrift::TBase {
@@ -604,7 +628,8 @@
               memoryTokens(0),
               speedPercent(0),
               tokenNanos(0),
-              unreadTokens(0) {
+              unreadTokens(0),
+              rateLimitMilli(0) {
   }
 
   virtual ~ServerRow() noexcept;
@@ -623,6 +648,7 @@
   int32_t speedPercent;
   int32_t tokenNanos;
   int64_t unreadTokens;
+  int32_t rateLimitMilli;
 
   _ServerRow__isset __isset;
 
@@ -656,6 +682,8 @@
 
   void __set_unreadTokens(const int64_t val);
 
+  void __set_rateLimitMilli(const int32_t val);
+
   bool operator == (const ServerRow & rhs) const
   {
     if (!(server == rhs.server))
@@ -688,6 +716,8 @@
       return false;
     if (!(unreadTokens == rhs.unreadTokens))
       return false;
+    if (!(rateLimitMilli == rhs.rateLimitMilli))
+      return false;
     return true;
   }
   bool operator != (const ServerRow &rhs) const {
@@ -833,6 +863,56 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerTable& obj);
 
+typedef struct _RateGrant__isset {
+  _RateGrant__isset() : server(false), requests(false) {}
+  bool server :1;
+  bool requests :1;
+} _RateGrant__isset;
+
+class RateGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  RateGrant(const RateGrant&);
+  RateGrant& operator=(const RateGrant&);
+  RateGrant() noexcept
+            : server(),
+              requests(0) {
+  }
+
+  virtual ~RateGrant() noexcept;
+  std::string server;
+  int32_t requests;
+
+  _RateGrant__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_requests(const int32_t val);
+
+  bool operator == (const RateGrant & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const RateGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RateGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RateGrant &a, RateGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const RateGrant& obj);
+
 typedef struct _ComingModel__isset {
   _ComingModel__isset() : model(false), readyInMs(false) {}
   bool model :1;
@@ -884,7 +964,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false), compressedTable(false), tableBytes(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false), grants(false), compressedTable(false), tableBytes(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -902,6 +982,7 @@
   bool routesBytes :1;
   bool heldParts :1;
   bool crashEpoch :1;
+  bool grants :1;
   bool compressedTable :1;
   bool tableBytes :1;
 } _SyncReply__isset;
@@ -945,6 +1026,7 @@
   int32_t routesBytes;
   std::vector<int64_t>  heldParts;
   int64_t crashEpoch;
+  std::vector<RateGrant>  grants;
   std::string compressedTable;
   int32_t tableBytes;
 
@@ -984,6 +1066,8 @@
 
   void __set_crashEpoch(const int64_t val);
 
+  void __set_grants(const std::vector<RateGrant> & val);
+
   void __set_compressedTable(const std::string& val);
 
   void __set_tableBytes(const int32_t val);
@@ -1024,6 +1108,8 @@
       return false;
     if (!(crashEpoch == rhs.crashEpoch))
       return false;
+    if (!(grants == rhs.grants))
+      return false;
     if (!(compressedTable == rhs.compressedTable))
       return false;
     if (!(tableBytes == rhs.tableBytes))
--- a/protocol/CallHeaders.hpp
+++ b/protocol/CallHeaders.hpp
@@ -31,6 +31,9 @@
   std::string lastEvent_;
   /// Headers that only this system may set; dropped from callers.
   std::vector<std::string> reserved_;
+  /// In an answer: requests per second that the server takes from all hosts
+  /// together, as long as its answers say so.
+  std::string rateLimit_;
 };
 
 } // namespace crocusslip::protocol
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -18,6 +18,9 @@
   12: double tokensSquared // sum over them of the square of their tokens
   13: double tokensMicros  // sum over them of tokens times time
   14: i64 unreadTokens    // of prompts that are being read there now
+  15: i32 rateLimitMilli  // requests in 1,000 s that its last answer allowed all hosts; 0: not limited
+  16: i32 rateLimitAgeMs = -1 // since that answer; -1: no limit is concerned
+  17: i32 wantedGrants    // requests that a grant is wanted for
 }
 
 struct ModelUse {
@@ -86,6 +89,7 @@
   13: i32 speedPercent   // time for a prompt against the mean server's; 0: not known
   14: i32 tokenNanos     // time to read one token of a prompt; 0: not known
   15: i64 unreadTokens   // of prompts that other hosts' requests have there
+  16: i32 rateLimitMilli // requests in 1,000 s that it takes from all hosts; 0: not limited
 }
 
 // The figures of a ServerRow that change with each request.
@@ -105,6 +109,12 @@
   1: list<ServerRow> rows
 }
 
+// Requests that the host may send to a server with a rate limit.
+struct RateGrant {
+  1: string server
+  2: i32 requests
+}
+
 struct ComingModel {
   1: string model
   2: i32 readyInMs
@@ -129,6 +139,7 @@
   16: i32 routesBytes    // size of the routes in compressedRoutes
   17: list<i64> heldParts // requests whose prompts have one are not forwarded
   18: i64 crashEpoch     // changes with the leader, which knows suspects and heldParts; 0: epoch
+  19: list<RateGrant> grants
   20: binary compressedTable // a ServerTable; rows and loads are newer
   21: i32 tableBytes     // size of the table in compressedTable
 }
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -378,6 +378,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AServerThatNamesARateLimit)
+
+BOOST_FIXTURE_TEST_CASE(GetsOnlyGrantedRequests, Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess + "\r\nLimit: 0.5", "yours"));
+  BOOST_TEST(Call("/once/a").status_ == 200);
+  fleet_->SetGrants(1);
+  BOOST_TEST(Call("/once/b").status_ == 200);
+  BOOST_TEST(Call("/once/c").status_ == 503);
+  BOOST_TEST(arrivals_ == 2);
+  BOOST_TEST(fleet_->ReportedRateLimit() == 500);
+}
+
+BOOST_FIXTURE_TEST_CASE(IsNotLimitedByWhatIsNoNumber, Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess + "\r\nLimit: nan", "yours"));
+  BOOST_TEST(Call("/once/a").status_ == 200);
+  BOOST_TEST(Call("/once/b").status_ == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AnUnexpectedError)
 
 BOOST_FIXTURE_TEST_CASE(EndsOnlyWhatItHappenedIn, Fixture)
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -63,7 +63,24 @@
     }
     crashes_.insert(
       crashes_.end(), aRequest.crashes.begin(), aRequest.crashes.end());
+    for (const wire::ServerUse& use : aRequest.uses) {
+      reportedRateLimit_ = std::max(reportedRateLimit_, use.rateLimitMilli);
+      for (wire::ServerRow& row : reply_.rows) {
+        if (row.server == use.server && use.rateLimitAgeMs >= 0) {
+          row.rateLimitMilli = use.rateLimitMilli;
+        }
+      }
+    }
     aReply = reply_;
+    for (const wire::ServerUse& use : aRequest.uses) {
+      const std::int32_t granted = std::min(use.wantedGrants, grantsLeft_);
+      if (granted > 0) {
+        grantsLeft_ -= granted;
+        aReply.grants.emplace_back();
+        aReply.grants.back().server = use.server;
+        aReply.grants.back().requests = granted;
+      }
+    }
     aReply.leader = isLeader_;
     aReply.epoch = 1;
     aReply.crashEpoch = crashEpoch_;
@@ -148,6 +165,19 @@
     return reportedHeldParts_;
   }
 
+  /// Requests to servers with a rate limit that hosts may still send.
+  void SetGrants(std::int32_t aCount)
+  {
+    const std::lock_guard lock(mutex_);
+    grantsLeft_ = aCount;
+  }
+  /// Highest rate limit reported, as requests in 1,000 s.
+  std::int32_t ReportedRateLimit()
+  {
+    const std::lock_guard lock(mutex_);
+    return reportedRateLimit_;
+  }
+
   void SetLeader(bool aIsLeader)
   {
     const std::lock_guard lock(mutex_);
@@ -160,6 +190,8 @@
   std::vector<wire::Crash> crashes_;
   std::set<std::int64_t> startedParts_;
   std::vector<std::int64_t> reportedHeldParts_;
+  std::int32_t grantsLeft_ = 0;
+  std::int32_t reportedRateLimit_ = 0;
   int crashReportsToFail_ = 0;
   /// Differs from the epoch, which stays while a new leader reads the list.
   std::int64_t crashEpoch_ = 2;
@@ -226,7 +258,7 @@
     settings_.retries_ = { 0.2, 50, 10s };
     settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
                            "Stamp",   "Model",    "Tokens",        "Parts",
-                           "Urgency", "Last-Id",  { "Secret" } };
+                           "Urgency", "Last-Id",  { "Secret" },    "Limit" };
     settings_.parseRoutes_ = [](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
