Skip an odd entry of the platform's list without the rest of its page

An operator of a like system reported machines that stopped following the list, or ended, when another writer left one odd entry in it: very deeply nested, a number too large, a port out of range.

It could happen here: the page was parsed as a whole, and the library discards all of it for a number like 1e999 or bytes that are no text, so that the leader kept its old list. Slots that are negative, fractional or too large were taken over as some other number, deep nesting was accepted, and port 0 counted as an address.

A page whose structure is broken is still an error as a whole.

PlatformTest/TheListOfRunners/SkipsAnOddEntryAlone: seven of eleven entries failed before (nesting, 1e999, three kinds of slots, port 0, no text).

--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE Platform
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "platform/RoutesReader.hpp"
@@ -44,6 +46,35 @@
   "BudgetWindowS":10,"BudgetExtraRetries":58},"New":{"Field":[1]},
   "CloudApi":{"Address":"10.2.0.1:8142","RatePerS":47.0}})";
 
+/// An entry of the list with these fields replaced or added.
+std::string
+EntryWith(const std::string& aSlots,
+          const std::string& aAddress,
+          const std::string& aExtra = "0")
+{
+  return R"({"Service":"s","Zone":"z","State":"ready","Id":"i-9","Slots":)" +
+         aSlots + R"(,"Address":")" + aAddress + R"(","X":)" + aExtra + "}";
+}
+
+std::vector<std::string>
+OddEntries()
+{
+  constexpr std::size_t kDepth = 100'000;
+  const std::string nested =
+    std::string(kDepth, '[') + std::string(kDepth, ']');
+  return { EntryWith("4", "10.0.0.9:80", nested),
+           EntryWith("4", "10.0.0.9:80", "1e999"),
+           EntryWith("1e999", "10.0.0.9:80"),
+           EntryWith("-1", "10.0.0.9:80"),
+           EntryWith("1e30", "10.0.0.9:80"),
+           EntryWith("99999999999999999999999999", "10.0.0.9:80"),
+           EntryWith("4", "10.0.0.9:65536"),
+           EntryWith("4", "10.0.0.9:0"),
+           EntryWith("4", "10.0.0.9:-1"),
+           EntryWith("4", "\xff\xfe"),
+           nested };
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(AConfiguration)
@@ -115,10 +146,33 @@
   BOOST_TEST(page.Value().skipped_ == 5U);
 }
 
+BOOST_DATA_TEST_CASE(SkipsAnOddEntryAlone,
+                     boost::unit_test::data::make(OddEntries()),
+                     odd)
+{
+  const std::string sound =
+    R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":4,
+    "State":"ready","Id":"i-#)";
+  std::string first = sound;
+  std::string last = sound;
+  first.replace(first.find('#'), 1, "1\"}");
+  last.replace(last.find('#'), 1, "2\"}");
+  const auto page =
+    platform::ParseListPage("{\"Instances\":[" + first + "," + odd + " , " +
+                            last + "] ,\"Next\":null}");
+  BOOST_REQUIRE(page.Ok());
+  BOOST_TEST(page.Value().servers_.size() == 2U);
+  BOOST_TEST(page.Value().skipped_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(IsAnErrorWhenItCannotBeRead)
 {
   BOOST_TEST(!platform::ParseListPage("{\"Instances\":[").Ok());
   BOOST_TEST(!platform::ParseListPage("[]").Ok());
+  BOOST_TEST(!platform::ParseListPage("{\"Instances\":[{\"Id\":\"a]}").Ok());
+  BOOST_TEST(!platform::ParseListPage("{\"Instances\":[1,]}").Ok());
+  BOOST_TEST(!platform::ParseListPage("{\"Instances\":[]}x").Ok());
+  BOOST_TEST(platform::ParseListPage("{\"Instances\":[ ]}").Ok());
 }
 
 BOOST_AUTO_TEST_CASE(ReportsTellOrdersAndCopies)
