Send a request that was refused on a new connection

An operator of a like system reported a faulty server that wrote an earlier refusal once more on a kept connection: clients were told "not run" for requests that had run.

It could happen here for requests that may be repeated: after a refusal the next attempt could go to the same server on the same kept connection, and a copy of the refusal has the request's own id. The request ran six times there and its caller was told that it had not run. Requests that may run once only always have a connection of their own, and a refusal with another request's id is skipped.

Kept connections are now only used for the first attempt and after failures other than refusals.

ServerTroubleTest/AnEarlierRefusalOnceMore failed before (answer "not_run_elsewhere", six arrivals instead of two).

--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -429,9 +429,10 @@
 GatewayCall::OpenConnection()
 {
   // Only a repeatable request is sent on a pooled connection: the server may
-  // have closed it, and then it is unknown whether the request arrived.
+  // have closed it, and then it is unknown whether the request arrived. Nor is
+  // one that was refused: a copy of the refusal would look like its answer.
   connectionUsedBefore_ = false;
-  if (route_->Repeatable()) {
+  if (route_->Repeatable() && notRunAnswers_ == 0) {
     if (auto pooled = gateway_.pool_.Take(choice_.server_)) {
       connectionUsedBefore_ = true;
       co_return pooled;
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -5,6 +5,7 @@
 
 #include "support/GatewayFixture.hpp"
 
+#include <map>
 #include <ostream>
 
 using namespace crocusslip;
@@ -218,6 +219,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AnEarlierRefusalOnceMore)
+
+// The server writes it before the answer to the request that it runs now.
+BOOST_FIXTURE_TEST_CASE(DoesNotHideThatTheRequestRuns, Fixture)
+{
+  const std::string refusal =
+    "503 Busy\r\nId: abc\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  std::map<transport::CallerLink*, int> requests;
+  StartServer("s1",
+              [&](transport::CallerLink& aLink,
+                  const HttpRequest& aRequest) -> Task<void> {
+                const bool refused = ++requests[&aLink] > 1 || arrivals_ == 1;
+                if (refused) {
+                  co_await aLink.WriteRaw("HTTP/1.1 " + refusal);
+                }
+                if (arrivals_ > 1) {
+                  co_await Respond(kSignedSuccess, "yours")(aLink, aRequest);
+                }
+              });
+  BOOST_TEST(Call("/safe/a").body_ == "yours");
+  BOOST_TEST(arrivals_ == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AnAnswerThatBreaksOff)
 
 BOOST_DATA_TEST_CASE_F(Fixture,
