Keep answers other than events out of a stream that has begun

An operator of a like system reported the text of an error, with its head, in the middle of a stream that was resumed at another server.

It could happen here: an answer with a status of 500 or above was held back, but one below, a redirect or a 4xx, was written to the caller whole, head included, into the chunks of the stream that had begun.

Whatever a server answers to a resumed stream other than a success is now a failed attempt; without another server the stream ends incomplete.

ServerTroubleTest/AStreamOfAServer/NeverContainsTheErrorOfTheNextServer: the statuses 302, 400 and 404 failed before, 500 and 503 passed.

--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -148,7 +148,8 @@
     Finish(SendOutcome::Neutral);
     co_return AttemptResult::Done;
   }
-  const bool failed = aHead.status_ >= 500;
+  // Whatever the server answers now can't continue a stream that has begun.
+  const bool failed = aHead.status_ >= 500 || streaming_;
   if (!complete || failed) {
     requirements_.tried_.insert(choice_.server_);
     Finish(SendOutcome::Failed);
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -5,6 +5,7 @@
 
 #include "support/GatewayFixture.hpp"
 
+#include <array>
 #include <map>
 #include <ostream>
 
@@ -86,6 +87,35 @@
 
 struct Fixture : GatewayFixture
 {
+  /// All bytes that a caller gets until its connection is closed.
+  std::string BytesOfAnswer(const std::string& aTarget)
+  {
+    std::string bytes;
+    bool done = false;
+    while (!gateway_->Ready()) {
+      loop_.run_for(10ms);
+    }
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      boost::system::error_code error;
+      transport::Tcp::socket socket(loop_);
+      co_await socket.async_connect(*transport::ParseEndpoint(callerAddress_),
+                                    transport::Catch(error));
+      const std::string request = "POST " + aTarget +
+                                  " HTTP/1.1\r\nHost: h.example\r\nId: abc"
+                                  "\r\nContent-Length: 0\r\n\r\n";
+      co_await socket.async_write_some(transport::asio::buffer(request),
+                                       transport::Catch(error));
+      std::array<char, kAnswerBytes> part{};
+      while (!error) {
+        const std::size_t got = co_await socket.async_read_some(
+          transport::asio::buffer(part), transport::Catch(error));
+        bytes.append(part.data(), got);
+      }
+      done = true;
+    });
+    RunUntil(done);
+    return bytes;
+  }
   /// Answers with these heads, which are not the request's, and then with the
   /// answer proper.
   RequestHandler AnswerWithIds(const std::vector<std::string>& aHeads)
@@ -326,6 +356,32 @@
   BOOST_TEST(arrivals_ == 2);
 }
 
+BOOST_DATA_TEST_CASE_F(
+  Fixture,
+  NeverContainsTheErrorOfTheNextServer,
+  data::make(
+    { "302 Found", "400 Bad", "404 Not Found", "500 Failed", "503 Busy" }),
+  status)
+{
+  const RequestHandler handler =
+    [&](transport::CallerLink& aLink,
+        const HttpRequest& aRequest) -> Task<void> {
+    if (arrivals_ > 1) {
+      co_await Respond(std::string(status) + "\r\nId: abc\r\nStamp: s1",
+                       "the error")(aLink, aRequest);
+      co_return;
+    }
+    co_await aLink.WriteRaw(kSignedHead + "Transfer-Encoding: chunked\r\n\r\n" +
+                            Chunk("id: 1\ndata: a\n\n"));
+    aLink.Abort();
+  };
+  StartServer("s1", handler);
+  StartServer("s2", handler);
+  const std::string bytes = BytesOfAnswer("/stream/a");
+  BOOST_TEST(bytes.ends_with(Chunk("id: 1\ndata: a\n\n")));
+  BOOST_TEST(arrivals_ == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(WaitsForAServerLongAfterItsArrival, Fixture)
 {
   StartServersOfBrokenStreams(3);
