--- a/coordination/RateGrants.cpp
+++ b/coordination/RateGrants.cpp
@@ -1,5 +1,7 @@
 #include "coordination/RateGrants.hpp"
 
+#include "core/Durations.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,12 +15,6 @@
 /// Grants for this time can be given at once, and one more.
 constexpr std::chrono::seconds kBurstTime{ 1 };
 
-double
-Seconds(core::Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 } // namespace
 
 void
@@ -56,8 +52,9 @@
   const double rate = std::max(kMinRate, *server.sighting_.perSecond_);
   const core::Duration elapsed =
     std::max(core::Duration(0), aNow - server.refilledAt_);
-  server.available_ = std::min(server.available_ + Seconds(elapsed) * rate,
-                               1 + Seconds(kBurstTime) * rate);
+  server.available_ =
+    std::min(server.available_ + core::Seconds(elapsed) * rate,
+             1 + core::Seconds(kBurstTime) * rate);
   server.refilledAt_ = aNow;
   const double granted =
     std::min<double>(aWanted, std::floor(server.available_));
