Begin at most 400 reports of servers with each reading of the list

Cause: a new leader began to read the reports of all 3,000 servers at once, each on a connection of its own (2,759 connections, 162 MB), while hosts and operators waited.

At most 400 are begun with each reading of the list, which is once a second; deployments with fewer servers see no change.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -28,6 +28,9 @@
 constexpr std::chrono::seconds kSummaryInterval{ 2 };
 constexpr std::size_t kSummaryModels = 12;
 constexpr std::chrono::milliseconds kLongestWait{ 1000 };
+/// Reports of servers that are begun with each reading of the list: a new
+/// leader of thousands has to answer hosts and operators meanwhile.
+constexpr std::size_t kMaxReportsPerList = 400;
 /// Time for which a whole table of servers is sent to hosts; they get the
 /// changes since then with it.
 constexpr std::chrono::seconds kSharedTableTime{ 1 };
@@ -296,7 +299,11 @@
             table_.SetTokenCapacity(id, limits->second.memoryTokens_);
           }
         }
+        std::size_t reports = 0;
         for (const core::ServerId& id : placement_.UnverifiedServers()) {
+          if (++reports > kMaxReportsPerList) {
+            break;
+          }
           transport::Spawn(loop_,
                            [this, id, term] { return Refresh(id, term); });
         }
