Heed servers that say that they leave or when to come back

A host sends no new requests to a server that said that it leaves, until the list has shown it leaving and ready again, and none to a server before its Retry-After has passed, 60 s at the most. Waiting requests go elsewhere or wait.

ServerTroubleTest/AServerThatWantsNoRequests is new and passes; it was not run on the code before.

--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -1,5 +1,7 @@
 #include "coordination/BackendView.hpp"
 
+#include "core/Durations.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -79,6 +81,9 @@
   if (!aRow.loadOnly_) {
     Server& server = servers_[aRow.server_];
     server.row_ = std::move(aRow);
+    if (server.row_.state_ != BackendState::Ready) {
+      server.saidLeaving_ = false;
+    }
     const auto& sighting = server.usage_.sighting_;
     const bool agree = sighting && sighting->perSecond_.has_value() ==
                                      server.row_.rateLimit_.has_value();
@@ -228,7 +233,7 @@
   }
   const core::MonotonicTime since = std::max<core::MonotonicTime>(
     controlContact_ + kControlSilence, aServer.startedWithoutGrant_);
-  return std::chrono::duration<double>(aNow - since).count() * *limit >= hosts_;
+  return core::Seconds(aNow - since) * *limit >= hosts_;
 }
 
 bool
@@ -248,6 +253,26 @@
   return before != aSighting.perSecond_;
 }
 
+void
+BackendView::OnLeaving(const core::ServerId& aServer)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end()) {
+    found->second.saidLeaving_ =
+      found->second.row_.state_ == BackendState::Ready;
+  }
+}
+
+void
+BackendView::OnRetryAfter(const core::ServerId& aServer,
+                          core::MonotonicTime aUntil)
+{
+  const auto found = servers_.find(aServer);
+  if (found != servers_.end()) {
+    found->second.closedUntil_ = std::max(found->second.closedUntil_, aUntil);
+  }
+}
+
 void
 BackendView::OnGrants(const core::ServerId& aServer,
                       std::uint32_t aCount,
@@ -297,7 +322,7 @@
   for (const auto& [id, server] : servers_) {
     const BackendRow& row = server.row_;
     if (row.service_ != aRequirements.service_ ||
-        row.state_ != BackendState::Ready ||
+        row.state_ != BackendState::Ready || server.saidLeaving_ ||
         aRequirements.tried_.contains(id)) {
       continue;
     }
@@ -308,6 +333,10 @@
         !row.models_.contains(aRequirements.model_)) {
       continue;
     }
+    if (aNow < server.closedUntil_) {
+      choice.status_ = BackendChoiceStatus::Full;
+      continue;
+    }
     const bool mayStart = MayStart(server, aNow);
     if (Ejected(server, aNow)) {
       if (!mayStart) {
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -164,6 +164,11 @@
   /// whether that changes the limit.
   bool OnRateSighting(const core::ServerId& aServer,
                       const RateSighting& aSighting);
+  /// The server said in an answer that it leaves. It gets no requests until it
+  /// is published as ready after it was published as leaving.
+  void OnLeaving(const core::ServerId& aServer);
+  /// The server wants no requests of this host until aUntil.
+  void OnRetryAfter(const core::ServerId& aServer, core::MonotonicTime aUntil);
   /// The control group allows this many more requests to a limited server.
   void OnGrants(const core::ServerId& aServer,
                 std::uint32_t aCount,
@@ -212,6 +217,8 @@
     std::uint32_t failuresInRow_ = 0;
     std::optional<core::MonotonicTime> ejectedUntil_;
     core::Duration ejectionTime_{ 0 };
+    bool saidLeaving_ = false;
+    core::MonotonicTime closedUntil_;
     std::uint32_t grants_ = 0;
     core::MonotonicTime grantsUntil_;
     /// Start of the last request without a grant.
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -31,8 +31,12 @@
 constexpr std::chrono::milliseconds kMaxStartAge{ 1500 };
 /// Rates are sent as requests in 1,000 s.
 constexpr double kRateUnits = 1000;
+/// Status of a server that turns a request away.
+constexpr unsigned kBusyStatus = 503;
 /// Highest rate limit, in requests per second, that is told apart from none.
 constexpr double kMaxRateLimit = 1e6;
+/// Longest time, in seconds, that a server's Retry-After is heeded.
+constexpr double kMaxRetryAfter = 60;
 
 std::vector<std::int64_t>
 ToWireParts(const auto& aParts)
@@ -64,17 +68,18 @@
   aRow.suspect_ = aFigures.suspect;
 }
 
-/// Parses a rate limit; nullopt if it is no number or no limit.
+/// Parses a decimal number from 0 to aMax; nullopt if the text is no such
+/// number.
 std::optional<double>
-ParseRateLimit(std::string_view aText)
+ParseDecimal(std::string_view aText, double aMax)
 {
-  double rate = 0;
+  double value = 0;
   const auto parsed =
-    std::from_chars(aText.data(), aText.data() + aText.size(), rate);
+    std::from_chars(aText.data(), aText.data() + aText.size(), value);
   const bool valid = parsed.ec == std::errc() &&
-                     parsed.ptr == aText.data() + aText.size() && rate >= 0 &&
-                     rate < kMaxRateLimit;
-  return valid ? std::optional(rate) : std::nullopt;
+                     parsed.ptr == aText.data() + aText.size() && value >= 0 &&
+                     value <= aMax;
+  return valid ? std::optional(value) : std::nullopt;
 }
 
 /// 0 stands for no limit on the wire, so that a rate below the unit is rounded
@@ -331,7 +336,20 @@
 Gateway::OnAnswerHead(const core::ServerId& aServer,
                       const transport::AnswerHead& aHead)
 {
-  if (settings_.headers_.rateLimit_.empty()) {
+  const protocol::CallHeaders& names = settings_.headers_;
+  if (!names.leaving_.empty() && !aHead.fields_[names.leaving_].empty()) {
+    view_.OnLeaving(aServer);
+  }
+  const auto retryAfter = aHead.fields_[transport::http::field::retry_after];
+  if (aHead.status_ == kBusyStatus && !retryAfter.empty()) {
+    const auto seconds =
+      ParseDecimal({ retryAfter.data(), retryAfter.size() }, kMaxRetryAfter);
+    if (seconds) {
+      view_.OnRetryAfter(
+        aServer, clock_.Now() + core::FromMilliseconds(*seconds * 1000));
+    }
+  }
+  if (names.rateLimit_.empty()) {
     return;
   }
   const auto field = aHead.fields_.find(settings_.headers_.rateLimit_);
@@ -339,7 +357,8 @@
   coordination::RateSighting sighting{ std::nullopt, clock_.Now() };
   if (named) {
     const auto text = field->value();
-    sighting.perSecond_ = ParseRateLimit({ text.data(), text.size() });
+    sighting.perSecond_ =
+      ParseDecimal({ text.data(), text.size() }, kMaxRateLimit);
     if (!sighting.perSecond_) {
       core::Log(
         core::LogLevel::Warning,
--- a/protocol/CallHeaders.hpp
+++ b/protocol/CallHeaders.hpp
@@ -34,6 +34,8 @@
   /// In an answer: requests per second that the server takes from all hosts
   /// together, as long as its answers say so.
   std::string rateLimit_;
+  /// In an answer: the server leaves and takes no new requests.
+  std::string leaving_;
 };
 
 } // namespace crocusslip::protocol
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -460,6 +460,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AServerThatWantsNoRequests)
+
+BOOST_FIXTURE_TEST_CASE(GetsNoneOnceItSaysThatItLeaves, Fixture)
+{
+  StartServer("s1", Respond(kSignedSuccess + "\r\nLeaving: 1", "last"));
+  BOOST_TEST(Call("/once/a").status_ == 200);
+  BOOST_TEST(Call("/once/b").status_ == 503);
+  StartServer("s2", Respond(kSignedSuccess, "other"));
+  BOOST_TEST(Call("/once/c").status_ == 200);
+  BOOST_TEST(arrivals_ == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(GetsNoneUntilItsRetryAfterEnds, Fixture)
+{
+  StartServer("s1",
+              [&](transport::CallerLink& aLink,
+                  const HttpRequest& aRequest) -> Task<void> {
+                const std::string busy =
+                  "503 Busy\r\nId: abc\r\nNot-Run: 1\r\nRetry-After: 1.2";
+                co_await Respond(arrivals_ == 1 ? busy : kSignedSuccess,
+                                 "yours")(aLink, aRequest);
+              });
+  const auto begin = std::chrono::steady_clock::now();
+  BOOST_TEST(Call("/once/a").status_ == 200);
+  BOOST_TEST((std::chrono::steady_clock::now() - begin >= 1200ms));
+  BOOST_TEST(arrivals_ == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AServerThatNamesARateLimit)
 
 BOOST_FIXTURE_TEST_CASE(GetsOnlyGrantedRequests, Fixture)
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -258,7 +258,8 @@
     settings_.retries_ = { 0.2, 50, 10s };
     settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
                            "Stamp",   "Model",    "Tokens",        "Parts",
-                           "Urgency", "Last-Id",  { "Secret" },    "Limit" };
+                           "Urgency", "Last-Id",  { "Secret" },    "Limit",
+                           "Leaving" };
     settings_.parseRoutes_ = [](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
