Bound what is allocated for a table of servers, and describe the changes

Cause: the library allocates texts and lists before it reads them, so that a few bytes could claim gigabytes in DecodeTable. Change: texts are bounded by the table's size, lists by 128 Ki elements.

--- a/protocol/ServerTableWire.cpp
+++ b/protocol/ServerTableWire.cpp
@@ -19,13 +19,14 @@
 /// Most elements of a list; more than there are servers or models of one.
 constexpr std::int32_t kMaxListElements = 128 * 1024;
 
-std::shared_ptr<TCompactProtocolT<TMemoryBuffer>>
+/// The library allocates texts and lists before it reads them, so that both are
+/// bounded.
+TCompactProtocolT<TMemoryBuffer>
 MakeProtocol(const std::shared_ptr<TMemoryBuffer>& aBuffer)
 {
-  // Texts are bounded by the buffer; the library allocates lists before it
-  // reads their elements.
-  return std::make_shared<TCompactProtocolT<TMemoryBuffer>>(
-    aBuffer, 0, kMaxListElements);
+  return { aBuffer,
+           static_cast<std::int32_t>(aBuffer->available_read()),
+           kMaxListElements };
 }
 
 } // namespace
@@ -34,7 +35,8 @@
 EncodeTable(const wire::ServerTable& aTable)
 {
   const auto buffer = std::make_shared<TMemoryBuffer>();
-  aTable.write(MakeProtocol(buffer).get());
+  auto protocol = MakeProtocol(buffer);
+  aTable.write(&protocol);
   const std::string text = buffer->getBufferAsString();
   return { Compress(text), text.size() };
 }
@@ -51,7 +53,8 @@
                       static_cast<std::uint32_t>(text.Value().size()));
   wire::ServerTable table;
   try {
-    table.read(MakeProtocol(buffer).get());
+    auto protocol = MakeProtocol(buffer);
+    table.read(&protocol);
   } catch (const TException& error) {
     return core::Error{ make_error_code(core::Errc::InvalidInput),
                         error.what() };
--- a/tests/CompressionTest.cpp
+++ b/tests/CompressionTest.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "protocol/Compression.hpp"
+#include "protocol/ServerTableWire.hpp"
 
 using namespace crocusslip;
 
@@ -47,3 +48,35 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ATableOfServers)
+
+BOOST_AUTO_TEST_CASE(ComesBackWhole)
+{
+  wire::ServerTable table;
+  table.rows.emplace_back().server = "s1";
+  table.rows.back().models = { "m1", "m2/a1" };
+  const auto encoded = protocol::EncodeTable(table);
+  const auto decoded =
+    protocol::DecodeTable(encoded.compressed_, encoded.bytes_);
+  BOOST_REQUIRE(decoded.Ok());
+  BOOST_TEST((decoded.Value() == table));
+}
+
+BOOST_AUTO_TEST_CASE(IsAnErrorWhenItCannotBeRead)
+{
+  wire::ServerTable table;
+  table.rows.emplace_back().server = "s1";
+  const auto encoded = protocol::EncodeTable(table);
+  BOOST_TEST(
+    !protocol::DecodeTable(encoded.compressed_, encoded.bytes_ - 1).Ok());
+  // A list with more elements than there are bytes, and a text of 2 GiB.
+  const std::string list("\x19\xfc\xff\xff\xff\x07", 6);
+  const std::string text("\x19\x1c\x18\xff\xff\xff\xff\x07", 8);
+  for (const std::string& bytes : { list, text, std::string() }) {
+    const std::string compressed = protocol::Compress(bytes);
+    BOOST_TEST(!protocol::DecodeTable(compressed, bytes.size()).Ok());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
