--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -428,7 +428,7 @@
                 { { "reason", decoded.Failure().Message() } });
       return;
     }
-    table = std::move(decoded.Value());
+    table.rows.swap(decoded.Value().rows);
   }
   if (aReply.complete) {
     std::set<core::ServerId> listed;
