Heed a Retry-After of a server of more than a minute for a minute

Cause: found in the review of the change: a Retry-After above 60 s was ignored as a whole instead of bounded, so that the server got the next request at once. Change: the time is bounded after it is parsed. Result: ServerTroubleTest, suites AServerThat*, passed with the new case GetsNoneForALongRetryAfter.

--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <utility>
 
 namespace crocusslip::entry {
@@ -35,8 +34,10 @@
 constexpr unsigned kBusyStatus = 503;
 /// Highest rate limit, in requests per second, that is told apart from none.
 constexpr double kMaxRateLimit = 1e6;
-/// Longest time, in seconds, that a server's Retry-After is heeded.
+/// Longest time, in seconds, that a server's Retry-After is heeded, and that it
+/// may name.
 constexpr double kMaxRetryAfter = 60;
+constexpr double kMaxNamedRetryAfter = 1e9;
 
 std::vector<std::int64_t>
 ToWireParts(const auto& aParts)
@@ -342,11 +343,12 @@
   }
   const auto retryAfter = aHead.fields_[transport::http::field::retry_after];
   if (aHead.status_ == kBusyStatus && !retryAfter.empty()) {
-    const auto seconds =
-      ParseDecimal({ retryAfter.data(), retryAfter.size() }, kMaxRetryAfter);
+    const auto seconds = ParseDecimal({ retryAfter.data(), retryAfter.size() },
+                                      kMaxNamedRetryAfter);
     if (seconds) {
-      view_.OnRetryAfter(
-        aServer, clock_.Now() + core::FromMilliseconds(*seconds * 1000));
+      const double heeded = std::min(*seconds, kMaxRetryAfter);
+      view_.OnRetryAfter(aServer,
+                         clock_.Now() + core::FromMilliseconds(heeded * 1000));
     }
   }
   if (names.rateLimit_.empty()) {
--- a/tests/ServerTroubleTest.cpp
+++ b/tests/ServerTroubleTest.cpp
@@ -488,6 +488,15 @@
   BOOST_TEST(arrivals_ == 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(GetsNoneForALongRetryAfter, Fixture)
+{
+  StartServer(
+    "s1",
+    Respond("503 Busy\r\nId: abc\r\nNot-Run: 1\r\nRetry-After: 90", "busy"));
+  BOOST_TEST(Call("/once/a").status_ == 503);
+  BOOST_TEST(arrivals_ == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(AServerThatNamesARateLimit)
