--- a/review/2/case.py
+++ b/review/2/case.py
@@ -52,6 +52,18 @@
     return "none"
 
 
+async def new_connections(proxies):
+    """How many of the links take a new connection, all the way to the process at the far end."""
+    work = 0
+    for proxy in proxies:
+        before = len(proxy.open)
+        _, writer = await asyncio.open_connection(*proxy.own)
+        await asyncio.sleep(0.05)
+        work += len(proxy.open) > before
+        writer.close()
+    return work
+
+
 async def case(platform, trouble):
     record = platform.record
     loop = asyncio.get_running_loop()
@@ -85,6 +97,7 @@
             changed = loop.time() - begin
             record.note(f"configuration 4 acknowledged after {changed:.1f} s")
         await asyncio.sleep(0.5)
+    record.note(f"new connections work on {await new_connections(proxies)} of {len(proxies)} links")
     record.note(f"answers to the operator: {answers}; leader: {await leader(platform)}; core processes running: "
                 f"{sum(node.running() for node in platform.cores)} of {len(platform.cores)}")
     if not read:
--- a/review/standin/stage.py
+++ b/review/standin/stage.py
@@ -134,6 +134,7 @@
         self.event_s = 0.02
         self.at_work = {}  # request: when the runner last worked on it
         self.events = 10
+        self.prompt_s = 0.0
 
     async def start(self):
         self.life += 1
@@ -225,9 +226,13 @@
             return await self.reply(writer, status)
         if self.on_request and await self.on_request(reader, writer, method, path, headers, body):
             return False
-        return await self.run(writer, path, headers, not_run)
+        return await self.run(reader, writer, path, headers, not_run)
 
-    async def run(self, writer, path, headers, not_run):
+    async def still_wanted(self, reader):
+        """Whether the connection of a request is open: a runner drops a request when it closes."""
+        return not reader.at_eof() and reader.exception() is None
+
+    async def run(self, reader, writer, path, headers, not_run):
         identity = headers.get("x-request-id", "")
         name, _, adapter = headers.get("x-model", "").partition("/")
         if self.engine and (name not in self.models or adapter and adapter not in self.models[name]):
@@ -243,15 +248,23 @@
             if not self.engine:
                 await asyncio.sleep(0.015)
                 return await self.reply(writer, 200, answer, f"{path} {identity}".encode())
-            writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in answer.items())
-                          + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
-            for number in range(int(headers.get("last-event-id", "0")) + 1, self.events + 1):
+            head = ("HTTP/1.1 200 OK\r\n" + "".join(f"{k}: {v}\r\n" for k, v in answer.items())
+                    + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode()
+            first = int(headers.get("last-event-id", "0")) + 1
+            until = time.monotonic() + self.prompt_s
+            while time.monotonic() < until and await self.still_wanted(reader):
+                self.at_work[identity] = time.monotonic()
+                await asyncio.sleep(0.02)
+            for number in range(first, self.events + 1):
                 await asyncio.sleep(self.event_s)
+                if not await self.still_wanted(reader):
+                    self.platform.record.note(f"{self.id} drops {identity}, whose connection has closed")
+                    return False
                 self.at_work[identity] = time.monotonic()
                 event = f"id: {number}\ndata: {identity} {number}\n\n".encode()
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                writer.write((head if number == first else b"") + b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
-            writer.write(b"0\r\n\r\n")
+            writer.write((head if first > self.events else b"") + b"0\r\n\r\n")
             await writer.drain()
             return True
         finally:
