--- a/review/standin/stage.py
+++ b/review/standin/stage.py
@@ -557,6 +557,7 @@
 def main(case, **sizes):
     """Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't be played."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes on the way out
     record = Record(pathlib.Path(sys.argv[1]).resolve())
     record.note(f"trouble: {'yes' if trouble else 'no'}")
     platform = None
