--- a/review/standin/stage.py
+++ b/review/standin/stage.py
@@ -78,7 +78,7 @@
             "DataDir": str(self.data) if self.role == "core" else None, "Discovery": "cloud", "Entry": "vip",
             "HeartbeatMs": 1200,
             "Contracts": ["base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine"],
-            "FaultTolerance": {"Machines": 2, "Zones": 0, "Regions": 0}, "Bounds": BOUNDS,
+            "FaultTolerance": {"Machines": (len(platform.cores) - 1) // 2, "Zones": 0, "Regions": 0}, "Bounds": BOUNDS,
             "ConfigMode": "highest",
             "CloudApi": {"Address": platform.at(platform.ip(250), "cloud"), "RatePerS": 47.0, "Duties": [],
                          "LagMs": int(LAG_S * 1000)},
