--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/QuotaBound.hpp"
 #include "control/BackendPort.hpp"
 #include "control/GroupHost.hpp"
 #include "coordination/CrashGuard.hpp"
@@ -35,6 +36,7 @@
   /// Whether servers refuse orders with a lower fencing number than one that
   /// they have accepted.
   bool fencingEnforced_ = false;
+  admission::QuotaBound quotaBound_;
 };
 
 /// Reads the limits of services out of the published table of routes.
--- a/coordination/RouteTable.cpp
+++ b/coordination/RouteTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 #include <utility>
 
 namespace crocusslip::coordination {
@@ -47,14 +48,17 @@
 RouteTable::RouteTable(std::uint64_t aVersion,
                        std::vector<Route> aRoutes,
                        std::map<ServiceName, Service> aServices,
-                       CallerLimits aLimits)
+                       CallerLimits aLimits,
+                       admission::TenantDirectory aTenants)
   : version_(aVersion)
   , routes_(std::move(aRoutes))
   , services_(std::move(aServices))
   , limits_(aLimits)
+  , tenants_(std::move(aTenants))
 {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     byHostAndPrefix_[LowerHost(routes_[i].host_) + routes_[i].prefix_] = i;
+    lastPriority_ = std::max(lastPriority_, routes_[i].priority_);
   }
 }
 
@@ -82,4 +86,17 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+std::uint32_t
+RouteTable::RankOf(const Route& aRoute, const admission::Tenant* aTenant) const
+{
+  if (aTenant == nullptr) {
+    return aRoute.priority_;
+  }
+  const std::uint64_t rank =
+    std::uint64_t{ aTenant->priority_.value_or(0) } * (lastPriority_ + 1ULL) +
+    aRoute.priority_;
+  return static_cast<std::uint32_t>(
+    std::min<std::uint64_t>(rank, std::numeric_limits<std::uint32_t>::max()));
+}
+
 } // namespace crocusslip::coordination
--- a/coordination/RouteTable.hpp
+++ b/coordination/RouteTable.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/Tenants.hpp"
 #include "core/Ids.hpp"
 
 #include <chrono>
@@ -56,6 +57,8 @@
   std::uint32_t maxAttempts_ = 1;
   /// Whether a broken stream may be resumed at another server.
   bool resumable_ = false;
+  /// Requests need no key although the table has tenants.
+  bool anonymous_ = false;
 
   /// Whether a request may run again although it may already have run.
   bool Repeatable() const;
@@ -113,22 +116,31 @@
   RouteTable(std::uint64_t aVersion,
              std::vector<Route> aRoutes,
              std::map<ServiceName, Service> aServices,
-             CallerLimits aLimits);
+             CallerLimits aLimits,
+             admission::TenantDirectory aTenants = {});
 
   /// The route of the host with the longest matching path prefix, or null.
   const Route* Match(std::string_view aHost, std::string_view aTarget) const;
   const Service* FindService(const ServiceName& aName) const;
+  /// Rank of a request among others, 0 first: by the tenant's priority, then by
+  /// the route's. aTenant may be null.
+  std::uint32_t RankOf(const Route& aRoute,
+                       const admission::Tenant* aTenant) const;
 
   std::uint64_t Version() const { return version_; }
   const std::vector<Route>& Routes() const { return routes_; }
   const std::map<ServiceName, Service>& Services() const { return services_; }
   const CallerLimits& Limits() const { return limits_; }
+  const admission::TenantDirectory& Tenants() const { return tenants_; }
 
 private:
   std::uint64_t version_ = 0;
   std::vector<Route> routes_;
   std::map<ServiceName, Service> services_;
   CallerLimits limits_;
+  admission::TenantDirectory tenants_;
+  /// Priority of the least urgent route.
+  std::uint32_t lastPriority_ = 0;
   /// Index in routes_ by lower-case host and prefix.
   std::unordered_map<std::string, std::size_t> byHostAndPrefix_;
 };
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -44,7 +44,7 @@
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
   "no_routes_yet", "no_route",      "no_server",   "no_model",
   "full",          "deadline_over", "quarantined", "not_run_elsewhere",
-  "broken",        "malformed",     "draining",
+  "broken",        "malformed",     "draining",    "unknown_key",
 };
 
 coordination::CrashGuardSettings
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -53,8 +53,10 @@
   Malformed,
   /// No server slot could be assigned while this host was draining.
   Draining,
+  /// The request has no key, or one that no tenant has.
+  UnknownKey,
 };
-inline constexpr std::size_t kGatewayRefusals = 11;
+inline constexpr std::size_t kGatewayRefusals = 12;
 const char*
 NameOf(GatewayRefusal aReason);
 
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -169,6 +169,22 @@
   timer_.cancel();
 }
 
+bool
+GatewayCall::Authenticate()
+{
+  const admission::TenantDirectory& tenants = routes_->Tenants();
+  if (!tenants.Empty() && !route_->anonymous_) {
+    const auto header = request_[gateway_.settings_.headers_.key_];
+    tenant_ =
+      tenants.FindByKey(admission::BearerKey({ header.data(), header.size() }));
+    if (tenant_ == nullptr) {
+      return false;
+    }
+  }
+  rank_ = routes_->RankOf(*route_, tenant_);
+  return true;
+}
+
 bool
 GatewayCall::ResolveRequest()
 {
@@ -251,6 +267,10 @@
     co_await Refuse(GatewayRefusal::NoRoute, 404, std::nullopt);
     co_return;
   }
+  if (!Authenticate()) {
+    co_await Refuse(GatewayRefusal::UnknownKey, 401, std::nullopt);
+    co_return;
+  }
   if (!ResolveRequest()) {
     co_await Refuse(GatewayRefusal::NoModel, 503, std::nullopt);
     co_return;
@@ -359,6 +379,7 @@
 GatewayCall::MakeServerRequest() const
 {
   const protocol::CallHeaders& names = gateway_.settings_.headers_;
+  const bool hasTenants = !routes_->Tenants().Empty();
   HttpRequest out;
   out.method_string(request_.method_string());
   out.target(request_.target());
@@ -369,7 +390,10 @@
       std::ranges::any_of(names.reserved_, [&](const std::string& aOther) {
         return transport::beast::iequals(name, aOther);
       });
-    if (!IsHopByHop(name) && !reserved) {
+    const bool identifiesCaller =
+      hasTenants && (transport::beast::iequals(name, names.key_) ||
+                     transport::beast::iequals(name, names.tenant_));
+    if (!IsHopByHop(name) && !reserved && !identifiesCaller) {
       out.insert(field.name_string(), field.value());
     }
   }
@@ -377,8 +401,11 @@
     names.deadlineMs_,
     std::to_string(std::max<std::int64_t>(1, core::Milliseconds(TimeLeft()))));
   out.set(names.expectedServer_, choice_.server_.Value());
+  if (tenant_ != nullptr) {
+    out.set(names.tenant_, tenant_->name_.Value());
+  }
   if (!requirements_.model_.Empty()) {
-    out.set(names.urgency_, std::to_string(std::min(route_->priority_, 9U)));
+    out.set(names.urgency_, std::to_string(std::min(rank_, 9U)));
   }
   if (lastEvent_) {
     out.set(names.lastEvent_, std::to_string(*lastEvent_));
@@ -594,6 +621,9 @@
     answer.set(names.requestId_, id);
   }
   answer.set(http::field::content_type, "text/plain");
+  if (aStatus == 401) {
+    answer.set(http::field::www_authenticate, "Bearer");
+  }
   const bool notRun = aStatus == 503;
   if (notRun && aRetryAfter) {
     answer.set(http::field::retry_after, SecondsText(*aRetryAfter));
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -61,6 +61,9 @@
   /// Reads the call headers, chooses the service and computes the fingerprint.
   /// Returns false if the service or the model is unknown.
   bool ResolveRequest();
+  /// Finds the tenant of the request's key. Returns false if the request needs
+  /// a key and has none that a tenant has.
+  bool Authenticate();
   transport::Task<void> AwaitRoutes();
   transport::Task<void> Forward();
   transport::Task<bool> AwaitSlot();
@@ -129,6 +132,10 @@
   /// is published in the meantime.
   std::shared_ptr<const coordination::RouteTable> routes_;
   const coordination::Route* route_ = nullptr;
+  /// Null without tenants, and on anonymous routes.
+  const admission::Tenant* tenant_ = nullptr;
+  /// 0 is the most urgent.
+  std::uint32_t rank_ = 0;
   coordination::BackendRequirements requirements_;
   std::string id_;
   core::Digest fingerprint_;
--- a/entry/GatewaySettings.hpp
+++ b/entry/GatewaySettings.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "admission/QuotaBound.hpp"
 #include "coordination/RouteTable.hpp"
 #include "coordination/SharedRetryBudget.hpp"
 #include "core/Error.hpp"
 #include "core/Ids.hpp"
+#include "core/Units.hpp"
 #include "protocol/CallHeaders.hpp"
 
 #include <chrono>
@@ -36,6 +38,12 @@
   std::chrono::milliseconds grace_{ 8000 };
   protocol::CallHeaders headers_;
   RouteTableParser parseRoutes_;
+  /// Memory and descriptors that this process may use; 0: no limit.
+  core::Bytes memoryLimit_;
+  std::uint32_t maxDescriptors_ = 0;
+  /// Bandwidth of this host's link in Mbit/s; 0: not known.
+  double linkMbps_ = 0;
+  admission::QuotaBound quotaBound_;
 };
 
 } // namespace crocusslip::entry
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -86,7 +86,7 @@
     co_return false;
   }
   queueId_ = gateway_.queue_.Add({ requirements_,
-                                   route_->priority_,
+                                   rank_,
                                    arrivedAt_,
                                    deadline_,
                                    arrivedAt_ + route_->latencyTarget_ / 2 });
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -85,6 +85,22 @@
 void ServerUse::__set_wantedGrants(const int32_t val) {
   this->wantedGrants = val;
 }
+
+void ServerUse::__set_loadAgeMs(const int32_t val) {
+  this->loadAgeMs = val;
+}
+
+void ServerUse::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void ServerUse::__set_queued(const int32_t val) {
+  this->queued = val;
+}
+
+void ServerUse::__set_pacePercent(const int32_t val) {
+  this->pacePercent = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj)
 {
   obj.printTo(out);
@@ -273,6 +289,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->loadAgeMs);
+          this->__isset.loadAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          this->__isset.queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pacePercent);
+          this->__isset.pacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -374,6 +422,22 @@
   xfer += oprot->writeI32(this->wantedGrants);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("loadAgeMs", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->loadAgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 20);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pacePercent", ::apache::thrift::protocol::T_I32, 21);
+  xfer += oprot->writeI32(this->pacePercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -398,6 +462,10 @@
   swap(a.rateLimitMilli, b.rateLimitMilli);
   swap(a.rateLimitAgeMs, b.rateLimitAgeMs);
   swap(a.wantedGrants, b.wantedGrants);
+  swap(a.loadAgeMs, b.loadAgeMs);
+  swap(a.running, b.running);
+  swap(a.queued, b.queued);
+  swap(a.pacePercent, b.pacePercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -419,6 +487,10 @@
   rateLimitMilli = other12.rateLimitMilli;
   rateLimitAgeMs = other12.rateLimitAgeMs;
   wantedGrants = other12.wantedGrants;
+  loadAgeMs = other12.loadAgeMs;
+  running = other12.running;
+  queued = other12.queued;
+  pacePercent = other12.pacePercent;
   __isset = other12.__isset;
 }
 ServerUse& ServerUse::operator=(const ServerUse& other13) {
@@ -439,6 +511,10 @@
   rateLimitMilli = other13.rateLimitMilli;
   rateLimitAgeMs = other13.rateLimitAgeMs;
   wantedGrants = other13.wantedGrants;
+  loadAgeMs = other13.loadAgeMs;
+  running = other13.running;
+  queued = other13.queued;
+  pacePercent = other13.pacePercent;
   __isset = other13.__isset;
   return *this;
 }
@@ -462,6 +538,414 @@
   out << ", " << "rateLimitMilli=" << to_string(rateLimitMilli);
   out << ", " << "rateLimitAgeMs=" << to_string(rateLimitAgeMs);
   out << ", " << "wantedGrants=" << to_string(wantedGrants);
+  out << ", " << "loadAgeMs=" << to_string(loadAgeMs);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "queued=" << to_string(queued);
+  out << ", " << "pacePercent=" << to_string(pacePercent);
+  out << ")";
+}
+
+
+TenantUse::~TenantUse() noexcept {
+}
+
+
+void TenantUse::__set_tenant(const std::string& val) {
+  this->tenant = val;
+}
+
+void TenantUse::__set_spent(const int64_t val) {
+  this->spent = val;
+}
+
+void TenantUse::__set_wanted(const int64_t val) {
+  this->wanted = val;
+}
+
+void TenantUse::__set_credit(const int64_t val) {
+  this->credit = val;
+}
+
+void TenantUse::__set_refused(const int32_t val) {
+  this->refused = val;
+}
+
+void TenantUse::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void TenantUse::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+std::ostream& operator<<(std::ostream& out, const TenantUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TenantUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->spent);
+          this->__isset.spent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->credit);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TenantUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TenantUse");
+
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spent", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->spent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TenantUse &a, TenantUse &b) {
+  using ::std::swap;
+  swap(a.tenant, b.tenant);
+  swap(a.spent, b.spent);
+  swap(a.wanted, b.wanted);
+  swap(a.credit, b.credit);
+  swap(a.refused, b.refused);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.__isset, b.__isset);
+}
+
+TenantUse::TenantUse(const TenantUse& other14) {
+  tenant = other14.tenant;
+  spent = other14.spent;
+  wanted = other14.wanted;
+  credit = other14.credit;
+  refused = other14.refused;
+  running = other14.running;
+  waiting = other14.waiting;
+  __isset = other14.__isset;
+}
+TenantUse& TenantUse::operator=(const TenantUse& other15) {
+  tenant = other15.tenant;
+  spent = other15.spent;
+  wanted = other15.wanted;
+  credit = other15.credit;
+  refused = other15.refused;
+  running = other15.running;
+  waiting = other15.waiting;
+  __isset = other15.__isset;
+  return *this;
+}
+void TenantUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TenantUse(";
+  out << "tenant=" << to_string(tenant);
+  out << ", " << "spent=" << to_string(spent);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "credit=" << to_string(credit);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ")";
+}
+
+
+TenantGrant::~TenantGrant() noexcept {
+}
+
+
+void TenantGrant::__set_tenant(const std::string& val) {
+  this->tenant = val;
+}
+
+void TenantGrant::__set_metered(const bool val) {
+  this->metered = val;
+}
+
+void TenantGrant::__set_credit(const int64_t val) {
+  this->credit = val;
+}
+
+void TenantGrant::__set_fallbackMilli(const int64_t val) {
+  this->fallbackMilli = val;
+}
+
+void TenantGrant::__set_retryAfterMs(const int32_t val) {
+  this->retryAfterMs = val;
+}
+
+void TenantGrant::__set_sharePercent(const int32_t val) {
+  this->sharePercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const TenantGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TenantGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->metered);
+          this->__isset.metered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->credit);
+          this->__isset.credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fallbackMilli);
+          this->__isset.fallbackMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sharePercent);
+          this->__isset.sharePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TenantGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TenantGrant");
+
+  xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->tenant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("metered", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->metered);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->credit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fallbackMilli", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->fallbackMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sharePercent", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->sharePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TenantGrant &a, TenantGrant &b) {
+  using ::std::swap;
+  swap(a.tenant, b.tenant);
+  swap(a.metered, b.metered);
+  swap(a.credit, b.credit);
+  swap(a.fallbackMilli, b.fallbackMilli);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.sharePercent, b.sharePercent);
+  swap(a.__isset, b.__isset);
+}
+
+TenantGrant::TenantGrant(const TenantGrant& other16) {
+  tenant = other16.tenant;
+  metered = other16.metered;
+  credit = other16.credit;
+  fallbackMilli = other16.fallbackMilli;
+  retryAfterMs = other16.retryAfterMs;
+  sharePercent = other16.sharePercent;
+  __isset = other16.__isset;
+}
+TenantGrant& TenantGrant::operator=(const TenantGrant& other17) {
+  tenant = other17.tenant;
+  metered = other17.metered;
+  credit = other17.credit;
+  fallbackMilli = other17.fallbackMilli;
+  retryAfterMs = other17.retryAfterMs;
+  sharePercent = other17.sharePercent;
+  __isset = other17.__isset;
+  return *this;
+}
+void TenantGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TenantGrant(";
+  out << "tenant=" << to_string(tenant);
+  out << ", " << "metered=" << to_string(metered);
+  out << ", " << "credit=" << to_string(credit);
+  out << ", " << "fallbackMilli=" << to_string(fallbackMilli);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "sharePercent=" << to_string(sharePercent);
   out << ")";
 }
 
@@ -643,25 +1127,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelUse::ModelUse(const ModelUse& other14) {
-  model = other14.model;
-  waiting = other14.waiting;
-  inFlight = other14.inFlight;
-  arrivals = other14.arrivals;
-  urgency = other14.urgency;
-  tokens = other14.tokens;
-  worth = other14.worth;
-  __isset = other14.__isset;
-}
-ModelUse& ModelUse::operator=(const ModelUse& other15) {
-  model = other15.model;
-  waiting = other15.waiting;
-  inFlight = other15.inFlight;
-  arrivals = other15.arrivals;
-  urgency = other15.urgency;
-  tokens = other15.tokens;
-  worth = other15.worth;
-  __isset = other15.__isset;
+ModelUse::ModelUse(const ModelUse& other18) {
+  model = other18.model;
+  waiting = other18.waiting;
+  inFlight = other18.inFlight;
+  arrivals = other18.arrivals;
+  urgency = other18.urgency;
+  tokens = other18.tokens;
+  worth = other18.worth;
+  __isset = other18.__isset;
+}
+ModelUse& ModelUse::operator=(const ModelUse& other19) {
+  model = other19.model;
+  waiting = other19.waiting;
+  inFlight = other19.inFlight;
+  arrivals = other19.arrivals;
+  urgency = other19.urgency;
+  tokens = other19.tokens;
+  worth = other19.worth;
+  __isset = other19.__isset;
   return *this;
 }
 void ModelUse::printTo(std::ostream& out) const {
@@ -770,15 +1254,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Fingerprint::Fingerprint(const Fingerprint& other16) noexcept {
-  high = other16.high;
-  low = other16.low;
-  __isset = other16.__isset;
+Fingerprint::Fingerprint(const Fingerprint& other20) noexcept {
+  high = other20.high;
+  low = other20.low;
+  __isset = other20.__isset;
 }
-Fingerprint& Fingerprint::operator=(const Fingerprint& other17) noexcept {
-  high = other17.high;
-  low = other17.low;
-  __isset = other17.__isset;
+Fingerprint& Fingerprint::operator=(const Fingerprint& other21) noexcept {
+  high = other21.high;
+  low = other21.low;
+  __isset = other21.__isset;
   return *this;
 }
 void Fingerprint::printTo(std::ostream& out) const {
@@ -857,14 +1341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->parts.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->parts.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += iprot->readI64(this->parts[_i22]);
+              xfer += iprot->readI64(this->parts[_i26]);
             }
             xfer += iprot->readListEnd();
           }
@@ -909,10 +1393,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter23;
-    for (_iter23 = this->parts.begin(); _iter23 != this->parts.end(); ++_iter23)
+    std::vector<int64_t> ::const_iterator _iter27;
+    for (_iter27 = this->parts.begin(); _iter27 != this->parts.end(); ++_iter27)
     {
-      xfer += oprot->writeI64((*_iter23));
+      xfer += oprot->writeI64((*_iter27));
     }
     xfer += oprot->writeListEnd();
   }
@@ -936,19 +1420,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Crash::Crash(const Crash& other24) {
-  server = other24.server;
-  request = other24.request;
-  parts = other24.parts;
-  ageMs = other24.ageMs;
-  __isset = other24.__isset;
+Crash::Crash(const Crash& other28) {
+  server = other28.server;
+  request = other28.request;
+  parts = other28.parts;
+  ageMs = other28.ageMs;
+  __isset = other28.__isset;
 }
-Crash& Crash::operator=(const Crash& other25) {
-  server = other25.server;
-  request = other25.request;
-  parts = other25.parts;
-  ageMs = other25.ageMs;
-  __isset = other25.__isset;
+Crash& Crash::operator=(const Crash& other29) {
+  server = other29.server;
+  request = other29.request;
+  parts = other29.parts;
+  ageMs = other29.ageMs;
+  __isset = other29.__isset;
   return *this;
 }
 void Crash::printTo(std::ostream& out) const {
@@ -1054,15 +1538,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other26) noexcept {
-  request = other26.request;
-  servers = other26.servers;
-  __isset = other26.__isset;
+Suspect::Suspect(const Suspect& other30) noexcept {
+  request = other30.request;
+  servers = other30.servers;
+  __isset = other30.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other27) noexcept {
-  request = other27.request;
-  servers = other27.servers;
-  __isset = other27.__isset;
+Suspect& Suspect::operator=(const Suspect& other31) noexcept {
+  request = other31.request;
+  servers = other31.servers;
+  __isset = other31.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -1141,6 +1625,10 @@
 void SyncRequest::__set_takesTable(const bool val) {
   this->takesTable = val;
 }
+
+void SyncRequest::__set_tenants(const std::vector<TenantUse> & val) {
+  this->tenants = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1221,14 +1709,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->uses.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->uses.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->uses[_i32].read(iprot);
+              xfer += this->uses[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1241,14 +1729,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->models.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->models.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->models[_i37].read(iprot);
+              xfer += this->models[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1261,14 +1749,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->crashes.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->crashes.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->crashes[_i42].read(iprot);
+              xfer += this->crashes[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1289,14 +1777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->completed.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->completed.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->completed[_i47].read(iprot);
+              xfer += this->completed[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1317,14 +1805,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->startedParts.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->startedParts.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->startedParts.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += iprot->readI64(this->startedParts[_i52]);
+              xfer += iprot->readI64(this->startedParts[_i56]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1345,14 +1833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->heldParts.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->heldParts.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readI64(this->heldParts[_i57]);
+              xfer += iprot->readI64(this->heldParts[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1369,6 +1857,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tenants.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->tenants.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += this->tenants[_i66].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tenants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1413,10 +1921,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter58;
-    for (_iter58 = this->uses.begin(); _iter58 != this->uses.end(); ++_iter58)
+    std::vector<ServerUse> ::const_iterator _iter67;
+    for (_iter67 = this->uses.begin(); _iter67 != this->uses.end(); ++_iter67)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1425,10 +1933,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUse> ::const_iterator _iter59;
-    for (_iter59 = this->models.begin(); _iter59 != this->models.end(); ++_iter59)
+    std::vector<ModelUse> ::const_iterator _iter68;
+    for (_iter68 = this->models.begin(); _iter68 != this->models.end(); ++_iter68)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1437,10 +1945,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter60;
-    for (_iter60 = this->crashes.begin(); _iter60 != this->crashes.end(); ++_iter60)
+    std::vector<Crash> ::const_iterator _iter69;
+    for (_iter69 = this->crashes.begin(); _iter69 != this->crashes.end(); ++_iter69)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1453,10 +1961,10 @@
   xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completed.size()));
-    std::vector<Fingerprint> ::const_iterator _iter61;
-    for (_iter61 = this->completed.begin(); _iter61 != this->completed.end(); ++_iter61)
+    std::vector<Fingerprint> ::const_iterator _iter70;
+    for (_iter70 = this->completed.begin(); _iter70 != this->completed.end(); ++_iter70)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1469,10 +1977,10 @@
   xfer += oprot->writeFieldBegin("startedParts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->startedParts.size()));
-    std::vector<int64_t> ::const_iterator _iter62;
-    for (_iter62 = this->startedParts.begin(); _iter62 != this->startedParts.end(); ++_iter62)
+    std::vector<int64_t> ::const_iterator _iter71;
+    for (_iter71 = this->startedParts.begin(); _iter71 != this->startedParts.end(); ++_iter71)
     {
-      xfer += oprot->writeI64((*_iter62));
+      xfer += oprot->writeI64((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1485,10 +1993,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter63;
-    for (_iter63 = this->heldParts.begin(); _iter63 != this->heldParts.end(); ++_iter63)
+    std::vector<int64_t> ::const_iterator _iter72;
+    for (_iter72 = this->heldParts.begin(); _iter72 != this->heldParts.end(); ++_iter72)
     {
-      xfer += oprot->writeI64((*_iter63));
+      xfer += oprot->writeI64((*_iter72));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1498,6 +2006,18 @@
   xfer += oprot->writeBool(this->takesTable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
+    std::vector<TenantUse> ::const_iterator _iter73;
+    for (_iter73 = this->tenants.begin(); _iter73 != this->tenants.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1521,46 +2041,49 @@
   swap(a.starts, b.starts);
   swap(a.heldParts, b.heldParts);
   swap(a.takesTable, b.takesTable);
+  swap(a.tenants, b.tenants);
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other64) {
-  host = other64.host;
-  failureDomain = other64.failureDomain;
-  instance = other64.instance;
-  epoch = other64.epoch;
-  seen = other64.seen;
-  routesVersion = other64.routesVersion;
-  uses = other64.uses;
-  models = other64.models;
-  crashes = other64.crashes;
-  waitMs = other64.waitMs;
-  completed = other64.completed;
-  takesCompressed = other64.takesCompressed;
-  startedParts = other64.startedParts;
-  starts = other64.starts;
-  heldParts = other64.heldParts;
-  takesTable = other64.takesTable;
-  __isset = other64.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other65) {
-  host = other65.host;
-  failureDomain = other65.failureDomain;
-  instance = other65.instance;
-  epoch = other65.epoch;
-  seen = other65.seen;
-  routesVersion = other65.routesVersion;
-  uses = other65.uses;
-  models = other65.models;
-  crashes = other65.crashes;
-  waitMs = other65.waitMs;
-  completed = other65.completed;
-  takesCompressed = other65.takesCompressed;
-  startedParts = other65.startedParts;
-  starts = other65.starts;
-  heldParts = other65.heldParts;
-  takesTable = other65.takesTable;
-  __isset = other65.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other74) {
+  host = other74.host;
+  failureDomain = other74.failureDomain;
+  instance = other74.instance;
+  epoch = other74.epoch;
+  seen = other74.seen;
+  routesVersion = other74.routesVersion;
+  uses = other74.uses;
+  models = other74.models;
+  crashes = other74.crashes;
+  waitMs = other74.waitMs;
+  completed = other74.completed;
+  takesCompressed = other74.takesCompressed;
+  startedParts = other74.startedParts;
+  starts = other74.starts;
+  heldParts = other74.heldParts;
+  takesTable = other74.takesTable;
+  tenants = other74.tenants;
+  __isset = other74.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other75) {
+  host = other75.host;
+  failureDomain = other75.failureDomain;
+  instance = other75.instance;
+  epoch = other75.epoch;
+  seen = other75.seen;
+  routesVersion = other75.routesVersion;
+  uses = other75.uses;
+  models = other75.models;
+  crashes = other75.crashes;
+  waitMs = other75.waitMs;
+  completed = other75.completed;
+  takesCompressed = other75.takesCompressed;
+  startedParts = other75.startedParts;
+  starts = other75.starts;
+  heldParts = other75.heldParts;
+  takesTable = other75.takesTable;
+  tenants = other75.tenants;
+  __isset = other75.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -1582,6 +2105,7 @@
   out << ", " << "starts=" << to_string(starts);
   out << ", " << "heldParts=" << to_string(heldParts);
   out << ", " << "takesTable=" << to_string(takesTable);
+  out << ", " << "tenants=" << to_string(tenants);
   out << ")";
 }
 
@@ -1653,6 +2177,14 @@
 void ServerRow::__set_rateLimitMilli(const int32_t val) {
   this->rateLimitMilli = val;
 }
+
+void ServerRow::__set_pacePercent(const int32_t val) {
+  this->pacePercent = val;
+}
+
+void ServerRow::__set_queued(const int32_t val) {
+  this->queued = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRow& obj)
 {
   obj.printTo(out);
@@ -1733,14 +2265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->models.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->models.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readString(this->models[_i70]);
+              xfer += iprot->readString(this->models[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1777,14 +2309,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->coming.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->coming.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += iprot->readString(this->coming[_i75]);
+              xfer += iprot->readString(this->coming[_i85]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1833,6 +2365,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pacePercent);
+          this->__isset.pacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          this->__isset.queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1877,10 +2425,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter76;
-    for (_iter76 = this->models.begin(); _iter76 != this->models.end(); ++_iter76)
+    std::vector<std::string> ::const_iterator _iter86;
+    for (_iter86 = this->models.begin(); _iter86 != this->models.end(); ++_iter86)
     {
-      xfer += oprot->writeString((*_iter76));
+      xfer += oprot->writeString((*_iter86));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1901,10 +2449,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter77;
-    for (_iter77 = this->coming.begin(); _iter77 != this->coming.end(); ++_iter77)
+    std::vector<std::string> ::const_iterator _iter87;
+    for (_iter87 = this->coming.begin(); _iter87 != this->coming.end(); ++_iter87)
     {
-      xfer += oprot->writeString((*_iter77));
+      xfer += oprot->writeString((*_iter87));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1930,6 +2478,14 @@
   xfer += oprot->writeI32(this->rateLimitMilli);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pacePercent", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->pacePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1953,46 +2509,52 @@
   swap(a.tokenNanos, b.tokenNanos);
   swap(a.unreadTokens, b.unreadTokens);
   swap(a.rateLimitMilli, b.rateLimitMilli);
+  swap(a.pacePercent, b.pacePercent);
+  swap(a.queued, b.queued);
   swap(a.__isset, b.__isset);
 }
 
-ServerRow::ServerRow(const ServerRow& other78) {
-  server = other78.server;
-  address = other78.address;
-  serviceName = other78.serviceName;
-  failureDomain = other78.failureDomain;
-  state = other78.state;
-  slots = other78.slots;
-  models = other78.models;
-  inFlight = other78.inFlight;
-  tokens = other78.tokens;
-  suspect = other78.suspect;
-  coming = other78.coming;
-  memoryTokens = other78.memoryTokens;
-  speedPercent = other78.speedPercent;
-  tokenNanos = other78.tokenNanos;
-  unreadTokens = other78.unreadTokens;
-  rateLimitMilli = other78.rateLimitMilli;
-  __isset = other78.__isset;
-}
-ServerRow& ServerRow::operator=(const ServerRow& other79) {
-  server = other79.server;
-  address = other79.address;
-  serviceName = other79.serviceName;
-  failureDomain = other79.failureDomain;
-  state = other79.state;
-  slots = other79.slots;
-  models = other79.models;
-  inFlight = other79.inFlight;
-  tokens = other79.tokens;
-  suspect = other79.suspect;
-  coming = other79.coming;
-  memoryTokens = other79.memoryTokens;
-  speedPercent = other79.speedPercent;
-  tokenNanos = other79.tokenNanos;
-  unreadTokens = other79.unreadTokens;
-  rateLimitMilli = other79.rateLimitMilli;
-  __isset = other79.__isset;
+ServerRow::ServerRow(const ServerRow& other88) {
+  server = other88.server;
+  address = other88.address;
+  serviceName = other88.serviceName;
+  failureDomain = other88.failureDomain;
+  state = other88.state;
+  slots = other88.slots;
+  models = other88.models;
+  inFlight = other88.inFlight;
+  tokens = other88.tokens;
+  suspect = other88.suspect;
+  coming = other88.coming;
+  memoryTokens = other88.memoryTokens;
+  speedPercent = other88.speedPercent;
+  tokenNanos = other88.tokenNanos;
+  unreadTokens = other88.unreadTokens;
+  rateLimitMilli = other88.rateLimitMilli;
+  pacePercent = other88.pacePercent;
+  queued = other88.queued;
+  __isset = other88.__isset;
+}
+ServerRow& ServerRow::operator=(const ServerRow& other89) {
+  server = other89.server;
+  address = other89.address;
+  serviceName = other89.serviceName;
+  failureDomain = other89.failureDomain;
+  state = other89.state;
+  slots = other89.slots;
+  models = other89.models;
+  inFlight = other89.inFlight;
+  tokens = other89.tokens;
+  suspect = other89.suspect;
+  coming = other89.coming;
+  memoryTokens = other89.memoryTokens;
+  speedPercent = other89.speedPercent;
+  tokenNanos = other89.tokenNanos;
+  unreadTokens = other89.unreadTokens;
+  rateLimitMilli = other89.rateLimitMilli;
+  pacePercent = other89.pacePercent;
+  queued = other89.queued;
+  __isset = other89.__isset;
   return *this;
 }
 void ServerRow::printTo(std::ostream& out) const {
@@ -2014,6 +2576,8 @@
   out << ", " << "tokenNanos=" << to_string(tokenNanos);
   out << ", " << "unreadTokens=" << to_string(unreadTokens);
   out << ", " << "rateLimitMilli=" << to_string(rateLimitMilli);
+  out << ", " << "pacePercent=" << to_string(pacePercent);
+  out << ", " << "queued=" << to_string(queued);
   out << ")";
 }
 
@@ -2049,6 +2613,14 @@
 void ServerLoad::__set_unreadTokens(const int64_t val) {
   this->unreadTokens = val;
 }
+
+void ServerLoad::__set_pacePercent(const int32_t val) {
+  this->pacePercent = val;
+}
+
+void ServerLoad::__set_queued(const int32_t val) {
+  this->queued = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerLoad& obj)
 {
   obj.printTo(out);
@@ -2133,6 +2705,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pacePercent);
+          this->__isset.pacePercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queued);
+          this->__isset.queued = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2178,6 +2766,14 @@
   xfer += oprot->writeI64(this->unreadTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pacePercent", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->pacePercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queued", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->queued);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2192,28 +2788,34 @@
   swap(a.speedPercent, b.speedPercent);
   swap(a.tokenNanos, b.tokenNanos);
   swap(a.unreadTokens, b.unreadTokens);
+  swap(a.pacePercent, b.pacePercent);
+  swap(a.queued, b.queued);
   swap(a.__isset, b.__isset);
 }
 
-ServerLoad::ServerLoad(const ServerLoad& other80) {
-  server = other80.server;
-  inFlight = other80.inFlight;
-  tokens = other80.tokens;
-  suspect = other80.suspect;
-  speedPercent = other80.speedPercent;
-  tokenNanos = other80.tokenNanos;
-  unreadTokens = other80.unreadTokens;
-  __isset = other80.__isset;
-}
-ServerLoad& ServerLoad::operator=(const ServerLoad& other81) {
-  server = other81.server;
-  inFlight = other81.inFlight;
-  tokens = other81.tokens;
-  suspect = other81.suspect;
-  speedPercent = other81.speedPercent;
-  tokenNanos = other81.tokenNanos;
-  unreadTokens = other81.unreadTokens;
-  __isset = other81.__isset;
+ServerLoad::ServerLoad(const ServerLoad& other90) {
+  server = other90.server;
+  inFlight = other90.inFlight;
+  tokens = other90.tokens;
+  suspect = other90.suspect;
+  speedPercent = other90.speedPercent;
+  tokenNanos = other90.tokenNanos;
+  unreadTokens = other90.unreadTokens;
+  pacePercent = other90.pacePercent;
+  queued = other90.queued;
+  __isset = other90.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other91) {
+  server = other91.server;
+  inFlight = other91.inFlight;
+  tokens = other91.tokens;
+  suspect = other91.suspect;
+  speedPercent = other91.speedPercent;
+  tokenNanos = other91.tokenNanos;
+  unreadTokens = other91.unreadTokens;
+  pacePercent = other91.pacePercent;
+  queued = other91.queued;
+  __isset = other91.__isset;
   return *this;
 }
 void ServerLoad::printTo(std::ostream& out) const {
@@ -2226,6 +2828,8 @@
   out << ", " << "speedPercent=" << to_string(speedPercent);
   out << ", " << "tokenNanos=" << to_string(tokenNanos);
   out << ", " << "unreadTokens=" << to_string(unreadTokens);
+  out << ", " << "pacePercent=" << to_string(pacePercent);
+  out << ", " << "queued=" << to_string(queued);
   out << ")";
 }
 
@@ -2269,14 +2873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->rows.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->rows.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->rows[_i86].read(iprot);
+              xfer += this->rows[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2305,10 +2909,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter87;
-    for (_iter87 = this->rows.begin(); _iter87 != this->rows.end(); ++_iter87)
+    std::vector<ServerRow> ::const_iterator _iter97;
+    for (_iter97 = this->rows.begin(); _iter97 != this->rows.end(); ++_iter97)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2325,13 +2929,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerTable::ServerTable(const ServerTable& other88) {
-  rows = other88.rows;
-  __isset = other88.__isset;
+ServerTable::ServerTable(const ServerTable& other98) {
+  rows = other98.rows;
+  __isset = other98.__isset;
 }
-ServerTable& ServerTable::operator=(const ServerTable& other89) {
-  rows = other89.rows;
-  __isset = other89.__isset;
+ServerTable& ServerTable::operator=(const ServerTable& other99) {
+  rows = other99.rows;
+  __isset = other99.__isset;
   return *this;
 }
 void ServerTable::printTo(std::ostream& out) const {
@@ -2434,15 +3038,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RateGrant::RateGrant(const RateGrant& other90) {
-  server = other90.server;
-  requests = other90.requests;
-  __isset = other90.__isset;
+RateGrant::RateGrant(const RateGrant& other100) {
+  server = other100.server;
+  requests = other100.requests;
+  __isset = other100.__isset;
 }
-RateGrant& RateGrant::operator=(const RateGrant& other91) {
-  server = other91.server;
-  requests = other91.requests;
-  __isset = other91.__isset;
+RateGrant& RateGrant::operator=(const RateGrant& other101) {
+  server = other101.server;
+  requests = other101.requests;
+  __isset = other101.__isset;
   return *this;
 }
 void RateGrant::printTo(std::ostream& out) const {
@@ -2546,15 +3150,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other92) {
-  model = other92.model;
-  readyInMs = other92.readyInMs;
-  __isset = other92.__isset;
+ComingModel::ComingModel(const ComingModel& other102) {
+  model = other102.model;
+  readyInMs = other102.readyInMs;
+  __isset = other102.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other93) {
-  model = other93.model;
-  readyInMs = other93.readyInMs;
-  __isset = other93.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other103) {
+  model = other103.model;
+  readyInMs = other103.readyInMs;
+  __isset = other103.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -2649,6 +3253,10 @@
 void SyncReply::__set_tableBytes(const int32_t val) {
   this->tableBytes = val;
 }
+
+void SyncReply::__set_tenants(const std::vector<TenantGrant> & val) {
+  this->tenants = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -2721,14 +3329,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->rows.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->rows.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->rows[_i98].read(iprot);
+              xfer += this->rows[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2757,14 +3365,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->members.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->members.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += iprot->readString(this->members[_i103]);
+              xfer += iprot->readString(this->members[_i113]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2785,14 +3393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->coming.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->coming.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->coming[_i108].read(iprot);
+              xfer += this->coming[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2805,14 +3413,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->suspects.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->suspects.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->suspects[_i113].read(iprot);
+              xfer += this->suspects[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2825,14 +3433,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->loads.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->loads.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->loads[_i118].read(iprot);
+              xfer += this->loads[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2861,14 +3469,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->heldParts.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->heldParts.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readI64(this->heldParts[_i123]);
+              xfer += iprot->readI64(this->heldParts[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2889,14 +3497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->grants.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->grants.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->grants[_i128].read(iprot);
+              xfer += this->grants[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2921,6 +3529,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tenants.clear();
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->tenants.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
+            {
+              xfer += this->tenants[_i143].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tenants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2961,10 +3589,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter129;
-    for (_iter129 = this->rows.begin(); _iter129 != this->rows.end(); ++_iter129)
+    std::vector<ServerRow> ::const_iterator _iter144;
+    for (_iter144 = this->rows.begin(); _iter144 != this->rows.end(); ++_iter144)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2981,10 +3609,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter130;
-    for (_iter130 = this->members.begin(); _iter130 != this->members.end(); ++_iter130)
+    std::vector<std::string> ::const_iterator _iter145;
+    for (_iter145 = this->members.begin(); _iter145 != this->members.end(); ++_iter145)
     {
-      xfer += oprot->writeString((*_iter130));
+      xfer += oprot->writeString((*_iter145));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2997,10 +3625,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter131;
-    for (_iter131 = this->coming.begin(); _iter131 != this->coming.end(); ++_iter131)
+    std::vector<ComingModel> ::const_iterator _iter146;
+    for (_iter146 = this->coming.begin(); _iter146 != this->coming.end(); ++_iter146)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3009,10 +3637,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter132;
-    for (_iter132 = this->suspects.begin(); _iter132 != this->suspects.end(); ++_iter132)
+    std::vector<Suspect> ::const_iterator _iter147;
+    for (_iter147 = this->suspects.begin(); _iter147 != this->suspects.end(); ++_iter147)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3021,10 +3649,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter133;
-    for (_iter133 = this->loads.begin(); _iter133 != this->loads.end(); ++_iter133)
+    std::vector<ServerLoad> ::const_iterator _iter148;
+    for (_iter148 = this->loads.begin(); _iter148 != this->loads.end(); ++_iter148)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3041,10 +3669,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter134;
-    for (_iter134 = this->heldParts.begin(); _iter134 != this->heldParts.end(); ++_iter134)
+    std::vector<int64_t> ::const_iterator _iter149;
+    for (_iter149 = this->heldParts.begin(); _iter149 != this->heldParts.end(); ++_iter149)
     {
-      xfer += oprot->writeI64((*_iter134));
+      xfer += oprot->writeI64((*_iter149));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3057,10 +3685,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<RateGrant> ::const_iterator _iter135;
-    for (_iter135 = this->grants.begin(); _iter135 != this->grants.end(); ++_iter135)
+    std::vector<RateGrant> ::const_iterator _iter150;
+    for (_iter150 = this->grants.begin(); _iter150 != this->grants.end(); ++_iter150)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3074,6 +3702,18 @@
   xfer += oprot->writeI32(this->tableBytes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
+    std::vector<TenantGrant> ::const_iterator _iter151;
+    for (_iter151 = this->tenants.begin(); _iter151 != this->tenants.end(); ++_iter151)
+    {
+      xfer += (*_iter151).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3101,54 +3741,57 @@
   swap(a.grants, b.grants);
   swap(a.compressedTable, b.compressedTable);
   swap(a.tableBytes, b.tableBytes);
+  swap(a.tenants, b.tenants);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other136) {
-  leader = other136.leader;
-  leaderAddress = other136.leaderAddress;
-  epoch = other136.epoch;
-  seen = other136.seen;
-  complete = other136.complete;
-  rows = other136.rows;
-  routesVersion = other136.routesVersion;
-  routes = other136.routes;
-  members = other136.members;
-  hosts = other136.hosts;
-  coming = other136.coming;
-  suspects = other136.suspects;
-  loads = other136.loads;
-  compressedRoutes = other136.compressedRoutes;
-  routesBytes = other136.routesBytes;
-  heldParts = other136.heldParts;
-  crashEpoch = other136.crashEpoch;
-  grants = other136.grants;
-  compressedTable = other136.compressedTable;
-  tableBytes = other136.tableBytes;
-  __isset = other136.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other137) {
-  leader = other137.leader;
-  leaderAddress = other137.leaderAddress;
-  epoch = other137.epoch;
-  seen = other137.seen;
-  complete = other137.complete;
-  rows = other137.rows;
-  routesVersion = other137.routesVersion;
-  routes = other137.routes;
-  members = other137.members;
-  hosts = other137.hosts;
-  coming = other137.coming;
-  suspects = other137.suspects;
-  loads = other137.loads;
-  compressedRoutes = other137.compressedRoutes;
-  routesBytes = other137.routesBytes;
-  heldParts = other137.heldParts;
-  crashEpoch = other137.crashEpoch;
-  grants = other137.grants;
-  compressedTable = other137.compressedTable;
-  tableBytes = other137.tableBytes;
-  __isset = other137.__isset;
+SyncReply::SyncReply(const SyncReply& other152) {
+  leader = other152.leader;
+  leaderAddress = other152.leaderAddress;
+  epoch = other152.epoch;
+  seen = other152.seen;
+  complete = other152.complete;
+  rows = other152.rows;
+  routesVersion = other152.routesVersion;
+  routes = other152.routes;
+  members = other152.members;
+  hosts = other152.hosts;
+  coming = other152.coming;
+  suspects = other152.suspects;
+  loads = other152.loads;
+  compressedRoutes = other152.compressedRoutes;
+  routesBytes = other152.routesBytes;
+  heldParts = other152.heldParts;
+  crashEpoch = other152.crashEpoch;
+  grants = other152.grants;
+  compressedTable = other152.compressedTable;
+  tableBytes = other152.tableBytes;
+  tenants = other152.tenants;
+  __isset = other152.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other153) {
+  leader = other153.leader;
+  leaderAddress = other153.leaderAddress;
+  epoch = other153.epoch;
+  seen = other153.seen;
+  complete = other153.complete;
+  rows = other153.rows;
+  routesVersion = other153.routesVersion;
+  routes = other153.routes;
+  members = other153.members;
+  hosts = other153.hosts;
+  coming = other153.coming;
+  suspects = other153.suspects;
+  loads = other153.loads;
+  compressedRoutes = other153.compressedRoutes;
+  routesBytes = other153.routesBytes;
+  heldParts = other153.heldParts;
+  crashEpoch = other153.crashEpoch;
+  grants = other153.grants;
+  compressedTable = other153.compressedTable;
+  tableBytes = other153.tableBytes;
+  tenants = other153.tenants;
+  __isset = other153.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -3174,6 +3817,7 @@
   out << ", " << "grants=" << to_string(grants);
   out << ", " << "compressedTable=" << to_string(compressedTable);
   out << ", " << "tableBytes=" << to_string(tableBytes);
+  out << ", " << "tenants=" << to_string(tenants);
   out << ")";
 }
 
@@ -3304,19 +3948,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other138) {
-  address = other138.address;
-  failureDomain = other138.failureDomain;
-  disk = other138.disk;
-  member = other138.member;
-  __isset = other138.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other154) {
+  address = other154.address;
+  failureDomain = other154.failureDomain;
+  disk = other154.disk;
+  member = other154.member;
+  __isset = other154.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other139) {
-  address = other139.address;
-  failureDomain = other139.failureDomain;
-  disk = other139.disk;
-  member = other139.member;
-  __isset = other139.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other155) {
+  address = other155.address;
+  failureDomain = other155.failureDomain;
+  disk = other155.disk;
+  member = other155.member;
+  __isset = other155.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -3409,14 +4053,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->members.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->members.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += iprot->readString(this->members[_i144]);
+              xfer += iprot->readString(this->members[_i160]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3429,14 +4073,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size145;
-            ::apache::thrift::protocol::TType _etype148;
-            xfer += iprot->readListBegin(_etype148, _size145);
-            this->memberIds.resize(_size145);
-            uint32_t _i149;
-            for (_i149 = 0; _i149 < _size145; ++_i149)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->memberIds.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += iprot->readI32(this->memberIds[_i149]);
+              xfer += iprot->readI32(this->memberIds[_i165]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3477,10 +4121,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter150;
-    for (_iter150 = this->members.begin(); _iter150 != this->members.end(); ++_iter150)
+    std::vector<std::string> ::const_iterator _iter166;
+    for (_iter166 = this->members.begin(); _iter166 != this->members.end(); ++_iter166)
     {
-      xfer += oprot->writeString((*_iter150));
+      xfer += oprot->writeString((*_iter166));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3489,10 +4133,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter151;
-    for (_iter151 = this->memberIds.begin(); _iter151 != this->memberIds.end(); ++_iter151)
+    std::vector<int32_t> ::const_iterator _iter167;
+    for (_iter167 = this->memberIds.begin(); _iter167 != this->memberIds.end(); ++_iter167)
     {
-      xfer += oprot->writeI32((*_iter151));
+      xfer += oprot->writeI32((*_iter167));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3513,21 +4157,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other152) {
-  leader = other152.leader;
-  leaderAddress = other152.leaderAddress;
-  member = other152.member;
-  members = other152.members;
-  memberIds = other152.memberIds;
-  __isset = other152.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other153) {
-  leader = other153.leader;
-  leaderAddress = other153.leaderAddress;
-  member = other153.member;
-  members = other153.members;
-  memberIds = other153.memberIds;
-  __isset = other153.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other168) {
+  leader = other168.leader;
+  leaderAddress = other168.leaderAddress;
+  member = other168.member;
+  members = other168.members;
+  memberIds = other168.memberIds;
+  __isset = other168.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other169) {
+  leader = other169.leader;
+  leaderAddress = other169.leaderAddress;
+  member = other169.member;
+  members = other169.members;
+  memberIds = other169.memberIds;
+  __isset = other169.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -23,6 +23,10 @@
 
 class ServerUse;
 
+class TenantUse;
+
+class TenantGrant;
+
 class ModelUse;
 
 class Fingerprint;
@@ -50,7 +54,7 @@
 class JoinAnswer;
 
 typedef struct _ServerUse__isset {
-  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false), promptRuns(false), tokensSquared(false), tokensMicros(false), unreadTokens(false), rateLimitMilli(false), rateLimitAgeMs(true), wantedGrants(false) {}
+  _ServerUse__isset() : server(false), inFlight(false), tokens(false), failures(false), successes(false), unreachable(false), missing(false), active(false), promptTokens(false), promptMicros(false), promptRuns(false), tokensSquared(false), tokensMicros(false), unreadTokens(false), rateLimitMilli(false), rateLimitAgeMs(true), wantedGrants(false), loadAgeMs(true), running(false), queued(false), pacePercent(false) {}
   bool server :1;
   bool inFlight :1;
   bool tokens :1;
@@ -68,6 +72,10 @@
   bool rateLimitMilli :1;
   bool rateLimitAgeMs :1;
   bool wantedGrants :1;
+  bool loadAgeMs :1;
+  bool running :1;
+  bool queued :1;
+  bool pacePercent :1;
 } _ServerUse__isset;
 
 class ServerUse : public virtual ::apache::thrift::TBase {
@@ -90,7 +98,11 @@
               unreadTokens(0),
               rateLimitMilli(0),
               rateLimitAgeMs(-1),
-              wantedGrants(0) {
+              wantedGrants(0),
+              loadAgeMs(-1),
+              running(0),
+              queued(0),
+              pacePercent(0) {
   }
 
   virtual ~ServerUse() noexcept;
@@ -111,6 +123,10 @@
   int32_t rateLimitMilli;
   int32_t rateLimitAgeMs;
   int32_t wantedGrants;
+  int32_t loadAgeMs;
+  int32_t running;
+  int32_t queued;
+  int32_t pacePercent;
 
   _ServerUse__isset __isset;
 
@@ -148,6 +164,14 @@
 
   void __set_wantedGrants(const int32_t val);
 
+  void __set_loadAgeMs(const int32_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
+  void __set_pacePercent(const int32_t val);
+
   bool operator == (const ServerUse & rhs) const
   {
     if (!(server == rhs.server))
@@ -184,6 +208,14 @@
       return false;
     if (!(wantedGrants == rhs.wantedGrants))
       return false;
+    if (!(loadAgeMs == rhs.loadAgeMs))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
+    if (!(pacePercent == rhs.pacePercent))
+      return false;
     return true;
   }
   bool operator != (const ServerUse &rhs) const {
@@ -202,6 +234,169 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
+typedef struct _TenantUse__isset {
+  _TenantUse__isset() : tenant(false), spent(false), wanted(false), credit(false), refused(false), running(false), waiting(false) {}
+  bool tenant :1;
+  bool spent :1;
+  bool wanted :1;
+  bool credit :1;
+  bool refused :1;
+  bool running :1;
+  bool waiting :1;
+} _TenantUse__isset;
+
+class TenantUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  TenantUse(const TenantUse&);
+  TenantUse& operator=(const TenantUse&);
+  TenantUse() noexcept
+            : tenant(),
+              spent(0),
+              wanted(0),
+              credit(0),
+              refused(0),
+              running(0),
+              waiting(0) {
+  }
+
+  virtual ~TenantUse() noexcept;
+  std::string tenant;
+  int64_t spent;
+  int64_t wanted;
+  int64_t credit;
+  int32_t refused;
+  int32_t running;
+  int32_t waiting;
+
+  _TenantUse__isset __isset;
+
+  void __set_tenant(const std::string& val);
+
+  void __set_spent(const int64_t val);
+
+  void __set_wanted(const int64_t val);
+
+  void __set_credit(const int64_t val);
+
+  void __set_refused(const int32_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  bool operator == (const TenantUse & rhs) const
+  {
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(spent == rhs.spent))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(credit == rhs.credit))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    return true;
+  }
+  bool operator != (const TenantUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TenantUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TenantUse &a, TenantUse &b);
+
+std::ostream& operator<<(std::ostream& out, const TenantUse& obj);
+
+typedef struct _TenantGrant__isset {
+  _TenantGrant__isset() : tenant(false), metered(false), credit(false), fallbackMilli(false), retryAfterMs(false), sharePercent(false) {}
+  bool tenant :1;
+  bool metered :1;
+  bool credit :1;
+  bool fallbackMilli :1;
+  bool retryAfterMs :1;
+  bool sharePercent :1;
+} _TenantGrant__isset;
+
+class TenantGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  TenantGrant(const TenantGrant&);
+  TenantGrant& operator=(const TenantGrant&);
+  TenantGrant() noexcept
+              : tenant(),
+                metered(0),
+                credit(0),
+                fallbackMilli(0),
+                retryAfterMs(0),
+                sharePercent(0) {
+  }
+
+  virtual ~TenantGrant() noexcept;
+  std::string tenant;
+  bool metered;
+  int64_t credit;
+  int64_t fallbackMilli;
+  int32_t retryAfterMs;
+  int32_t sharePercent;
+
+  _TenantGrant__isset __isset;
+
+  void __set_tenant(const std::string& val);
+
+  void __set_metered(const bool val);
+
+  void __set_credit(const int64_t val);
+
+  void __set_fallbackMilli(const int64_t val);
+
+  void __set_retryAfterMs(const int32_t val);
+
+  void __set_sharePercent(const int32_t val);
+
+  bool operator == (const TenantGrant & rhs) const
+  {
+    if (!(tenant == rhs.tenant))
+      return false;
+    if (!(metered == rhs.metered))
+      return false;
+    if (!(credit == rhs.credit))
+      return false;
+    if (!(fallbackMilli == rhs.fallbackMilli))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    if (!(sharePercent == rhs.sharePercent))
+      return false;
+    return true;
+  }
+  bool operator != (const TenantGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TenantGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TenantGrant &a, TenantGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const TenantGrant& obj);
+
 typedef struct _ModelUse__isset {
   _ModelUse__isset() : model(false), waiting(false), inFlight(false), arrivals(false), urgency(false), tokens(false), worth(false) {}
   bool model :1;
@@ -449,7 +644,7 @@
 std::ostream& operator<<(std::ostream& out, const Suspect& obj);
 
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false), startedParts(false), starts(false), heldParts(false), takesTable(false) {}
+  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false), startedParts(false), starts(false), heldParts(false), takesTable(false), tenants(false) {}
   bool host :1;
   bool failureDomain :1;
   bool instance :1;
@@ -466,6 +661,7 @@
   bool starts :1;
   bool heldParts :1;
   bool takesTable :1;
+  bool tenants :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -503,6 +699,7 @@
   int32_t starts;
   std::vector<int64_t>  heldParts;
   bool takesTable;
+  std::vector<TenantUse>  tenants;
 
   _SyncRequest__isset __isset;
 
@@ -538,6 +735,8 @@
 
   void __set_takesTable(const bool val);
 
+  void __set_tenants(const std::vector<TenantUse> & val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(host == rhs.host))
@@ -572,6 +771,8 @@
       return false;
     if (!(takesTable == rhs.takesTable))
       return false;
+    if (!(tenants == rhs.tenants))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
@@ -591,7 +792,7 @@
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj);
 
 typedef struct _ServerRow__isset {
-  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false), tokenNanos(false), unreadTokens(false), rateLimitMilli(false) {}
+  _ServerRow__isset() : server(false), address(false), serviceName(false), failureDomain(false), state(false), slots(false), models(false), inFlight(false), tokens(false), suspect(false), coming(false), memoryTokens(false), speedPercent(false), tokenNanos(false), unreadTokens(false), rateLimitMilli(false), pacePercent(false), queued(false) {}
   bool server :1;
   bool address :1;
   bool serviceName :1;
@@ -608,6 +809,8 @@
   bool tokenNanos :1;
   bool unreadTokens :1;
   bool rateLimitMilli :1;
+  bool pacePercent :1;
+  bool queued :1;
 } _ServerRow__isset;
 
 class ServerRow : public virtual ::apache::thrift::TBase {
@@ -629,7 +832,9 @@
               speedPercent(0),
               tokenNanos(0),
               unreadTokens(0),
-              rateLimitMilli(0) {
+              rateLimitMilli(0),
+              pacePercent(0),
+              queued(0) {
   }
 
   virtual ~ServerRow() noexcept;
@@ -649,6 +854,8 @@
   int32_t tokenNanos;
   int64_t unreadTokens;
   int32_t rateLimitMilli;
+  int32_t pacePercent;
+  int32_t queued;
 
   _ServerRow__isset __isset;
 
@@ -684,6 +891,10 @@
 
   void __set_rateLimitMilli(const int32_t val);
 
+  void __set_pacePercent(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
   bool operator == (const ServerRow & rhs) const
   {
     if (!(server == rhs.server))
@@ -718,6 +929,10 @@
       return false;
     if (!(rateLimitMilli == rhs.rateLimitMilli))
       return false;
+    if (!(pacePercent == rhs.pacePercent))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
     return true;
   }
   bool operator != (const ServerRow &rhs) const {
@@ -737,7 +952,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerRow& obj);
 
 typedef struct _ServerLoad__isset {
-  _ServerLoad__isset() : server(false), inFlight(false), tokens(false), suspect(false), speedPercent(false), tokenNanos(false), unreadTokens(false) {}
+  _ServerLoad__isset() : server(false), inFlight(false), tokens(false), suspect(false), speedPercent(false), tokenNanos(false), unreadTokens(false), pacePercent(false), queued(false) {}
   bool server :1;
   bool inFlight :1;
   bool tokens :1;
@@ -745,6 +960,8 @@
   bool speedPercent :1;
   bool tokenNanos :1;
   bool unreadTokens :1;
+  bool pacePercent :1;
+  bool queued :1;
 } _ServerLoad__isset;
 
 class ServerLoad : public virtual ::apache::thrift::TBase {
@@ -759,7 +976,9 @@
                suspect(0),
                speedPercent(0),
                tokenNanos(0),
-               unreadTokens(0) {
+               unreadTokens(0),
+               pacePercent(0),
+               queued(0) {
   }
 
   virtual ~ServerLoad() noexcept;
@@ -770,6 +989,8 @@
   int32_t speedPercent;
   int32_t tokenNanos;
   int64_t unreadTokens;
+  int32_t pacePercent;
+  int32_t queued;
 
   _ServerLoad__isset __isset;
 
@@ -787,6 +1008,10 @@
 
   void __set_unreadTokens(const int64_t val);
 
+  void __set_pacePercent(const int32_t val);
+
+  void __set_queued(const int32_t val);
+
   bool operator == (const ServerLoad & rhs) const
   {
     if (!(server == rhs.server))
@@ -803,6 +1028,10 @@
       return false;
     if (!(unreadTokens == rhs.unreadTokens))
       return false;
+    if (!(pacePercent == rhs.pacePercent))
+      return false;
+    if (!(queued == rhs.queued))
+      return false;
     return true;
   }
   bool operator != (const ServerLoad &rhs) const {
@@ -964,7 +1193,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false), grants(false), compressedTable(false), tableBytes(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false), grants(false), compressedTable(false), tableBytes(false), tenants(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -985,6 +1214,7 @@
   bool grants :1;
   bool compressedTable :1;
   bool tableBytes :1;
+  bool tenants :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -1029,6 +1259,7 @@
   std::vector<RateGrant>  grants;
   std::string compressedTable;
   int32_t tableBytes;
+  std::vector<TenantGrant>  tenants;
 
   _SyncReply__isset __isset;
 
@@ -1072,6 +1303,8 @@
 
   void __set_tableBytes(const int32_t val);
 
+  void __set_tenants(const std::vector<TenantGrant> & val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -1114,6 +1347,8 @@
       return false;
     if (!(tableBytes == rhs.tableBytes))
       return false;
+    if (!(tenants == rhs.tenants))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/CallHeaders.hpp
+++ b/protocol/CallHeaders.hpp
@@ -36,6 +36,16 @@
   std::string rateLimit_;
   /// In an answer: the server leaves and takes no new requests.
   std::string leaving_;
+  /// "Bearer KEY" of a caller; never passed on to servers if the table has
+  /// tenants.
+  std::string key_;
+  /// Name of the tenant that a request's key belongs to; only this system sets
+  /// it.
+  std::string tenant_;
+  /// In an answer: requests that run, requests that wait and slots of the
+  /// server, "RUNNING,WAITING,SLOTS", and in some deployments how long work
+  /// takes there now in percent of the usual time, ",PACE".
+  std::string load_;
 };
 
 } // namespace crocusslip::protocol
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -21,6 +21,31 @@
   15: i32 rateLimitMilli  // requests in 1,000 s that its last answer allowed all hosts; 0: not limited
   16: i32 rateLimitAgeMs = -1 // since that answer; -1: no limit is concerned
   17: i32 wantedGrants    // requests that a grant is wanted for
+  18: i32 loadAgeMs = -1  // since the server's last answer with its load; -1: none
+  19: i32 running         // requests of all hosts that ran there then
+  20: i32 queued          // requests of all hosts that waited there then
+  21: i32 pacePercent     // time that work took there then against the usual; 0: not known
+}
+
+// What one host did for a tenant since its last call, in the unit of its quota.
+struct TenantUse {
+  1: string tenant
+  2: i64 spent           // by requests that were passed on, less what was given back
+  3: i64 wanted          // by requests that wait for credit
+  4: i64 credit          // granted and not spent
+  5: i32 refused         // requests refused for the quota
+  6: i32 running         // requests in flight now
+  7: i32 waiting         // requests that wait for a server now
+}
+
+// What a host may do for a tenant until its next call.
+struct TenantGrant {
+  1: string tenant
+  2: bool metered        // only requests with credit may be passed on
+  3: i64 credit          // replaces the credit that the host holds
+  4: i64 fallbackMilli   // units in 1,000 s that the host may pass on without contact
+  5: i32 retryAfterMs    // until a refused request can be served; 0: not known
+  6: i32 sharePercent    // use of scarce servers against the tenant's fair share; 0: not known
 }
 
 struct ModelUse {
@@ -71,6 +96,7 @@
   14: i32 starts         // requests with prompts with a first event since then
   15: list<i64> heldParts // told by an earlier leader
   16: bool takesTable    // all rows may be answered in compressedTable
+  17: list<TenantUse> tenants
 }
 
 struct ServerRow {
@@ -90,6 +116,8 @@
   14: i32 tokenNanos     // time to read one token of a prompt; 0: not known
   15: i64 unreadTokens   // of prompts that other hosts' requests have there
   16: i32 rateLimitMilli // requests in 1,000 s that it takes from all hosts; 0: not limited
+  17: i32 pacePercent    // time that work takes there against the usual; 0: not known
+  18: i32 queued         // requests that wait there, as it said last
 }
 
 // The figures of a ServerRow that change with each request.
@@ -101,6 +129,8 @@
   5: i32 speedPercent
   6: i32 tokenNanos
   7: i64 unreadTokens
+  8: i32 pacePercent
+  9: i32 queued
 }
 
 // The rows of all servers, the same for all hosts: the load is that of all of
@@ -142,6 +172,7 @@
   19: list<RateGrant> grants
   20: binary compressedTable // a ServerTable; rows and loads are newer
   21: i32 tableBytes     // size of the table in compressedTable
+  22: list<TenantGrant> tenants // of the tenants in the host's report
 }
 
 struct JoinRequest {
