--- a/control/Group.cpp
+++ b/control/Group.cpp
@@ -297,6 +297,15 @@
   return leaseEnd_ && clock_.Now() < *leaseEnd_;
 }
 
+std::optional<core::Term>
+Group::DecidingTerm() const
+{
+  const std::lock_guard lock(statusMutex_);
+  return leaseEnd_ && clock_.Now() < *leaseEnd_
+           ? std::optional<core::Term>(status_.term_)
+           : std::nullopt;
+}
+
 void
 Group::ProposeBatch(std::vector<Proposal> aProposals)
 {
--- a/control/Group.hpp
+++ b/control/Group.hpp
@@ -77,7 +77,10 @@
 {
   coordination::RaftConfig raft_;
   state::StateLimits limits_;
+  /// A snapshot is written once either many entries or many bytes have been
+  /// applied since the last one.
   std::uint64_t snapshotEvery_ = 50'000;
+  core::Bytes snapshotBytes_{ 256 * core::kMebi };
   std::uint64_t entriesKept_ = 10'000;
 };
 
@@ -125,6 +128,8 @@
   /// Whether this member leads, holds the lease and has applied an entry of
   /// its own term.
   bool MayDecide() const;
+  /// The term in which this member may decide, if it may.
+  std::optional<core::Term> DecidingTerm() const;
   /// Calls aRead under the shared state lock.
   template<typename Read>
   auto WithState(Read aRead) const
@@ -208,6 +213,8 @@
   std::map<std::uint64_t, std::function<void(core::Status)>> memberChanges_;
   std::uint64_t nextTag_ = 1;
   core::LogIndex snapshotIndex_;
+  /// Applied since the last snapshot was begun.
+  core::Bytes appliedBytes_;
   bool writingSnapshot_ = false;
   state::GroupMembers announced_;
   bool halted_ = false;
--- a/control/GroupActions.cpp
+++ b/control/GroupActions.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Bytes of an entry and of its sync in the log besides the command.
+constexpr core::Bytes kEntryOverhead{ 64 };
+
 core::Error
 TakenOver()
 {
@@ -45,6 +48,7 @@
 Group::ApplyEntries(const raft::Apply& aAction)
 {
   for (const state::LogEntry& entry : aAction.entries_) {
+    appliedBytes_ += core::Bytes(entry.payload_.size()) + kEntryOverhead;
     const auto found = pending_.find(entry.index_);
     ProposalCallback done;
     bool same = false;
--- a/control/GroupStorage.cpp
+++ b/control/GroupStorage.cpp
@@ -76,6 +76,7 @@
   if (!snapshot.Ok()) {
     return snapshot.Failure();
   }
+  appliedBytes_ = core::Bytes();
   const std::unique_lock lock(stateMutex_);
   return machine_.Restore(snapshot.Value().content_);
 }
@@ -132,9 +133,12 @@
 {
   const core::LogIndex applied = machine_.LastApplied();
   if (halted_ || writingSnapshot_ || !waiting_.empty() ||
-      applied.Value() < snapshotIndex_.Value() + settings_.snapshotEvery_) {
+      applied <= snapshotIndex_ ||
+      (applied.Value() < snapshotIndex_.Value() + settings_.snapshotEvery_ &&
+       appliedBytes_ < settings_.snapshotBytes_)) {
     return;
   }
+  appliedBytes_ = core::Bytes();
   const state::SnapshotMeta meta = node_->SnapshotMetaAt(applied);
   writingSnapshot_ =
     snapshotWorker_.Submit([this, meta, content = machine_.Snapshot()] {
--- a/fuzz/DiskDecoders.cpp
+++ b/fuzz/DiskDecoders.cpp
@@ -5,6 +5,7 @@
 #include "state/LogRecord.hpp"
 #include "state/LogStore.hpp"
 #include "state/MemberIdentity.hpp"
+#include "state/SnapshotCodec.hpp"
 #include "state/SnapshotStore.hpp"
 #include "state/StateMachine.hpp"
 #include "state/VoteStore.hpp"
@@ -66,6 +67,22 @@
          Raw(core::Hash64(aContent, aKind)) + std::string(aContent);
 }
 
+void
+RestoreState(const std::string& aBytes)
+{
+  state::StateMachine machine;
+  if (machine.Restore(aBytes)) {
+    state::StateMachine again;
+    Require(again.Restore(machine.Snapshot()).Ok() &&
+              again.StateDigest() == machine.StateDigest(),
+            "a restored state survives its snapshot");
+    machine.Apply(
+      core::LogIndex(1),
+      core::Term(1),
+      state::AdvanceTime{ state::AgreedTime(std::chrono::milliseconds(1)) });
+  }
+}
+
 } // namespace
 
 void
@@ -203,21 +220,17 @@
 void
 RunStateSnapshot(std::string_view aInput)
 {
-  std::string bytes(aInput.substr(std::min<std::size_t>(1, aInput.size())));
-  if (TakeSealed(aInput)) {
-    bytes = "CCSP" + Raw(std::uint32_t(1)) + Raw(std::uint64_t(aInput.size())) +
-            Raw(core::Hash64(aInput)) + std::string(aInput);
+  const std::string bytes(
+    aInput.substr(std::min<std::size_t>(1, aInput.size())));
+  if (!TakeSealed(aInput)) {
+    RestoreState(bytes);
+    return;
   }
-  state::StateMachine machine;
-  if (machine.Restore(bytes)) {
-    state::StateMachine again;
-    Require(again.Restore(machine.Snapshot()).Ok() &&
-              again.StateDigest() == machine.StateDigest(),
-            "a restored state survives its snapshot");
-    machine.Apply(
-      core::LogIndex(1),
-      core::Term(1),
-      state::AdvanceTime{ state::AgreedTime(std::chrono::milliseconds(1)) });
+  for (std::uint32_t version = state::kOldestSnapshotVersion;
+       version <= state::kSnapshotVersion;
+       ++version) {
+    RestoreState("CCSP" + Raw(version) + Raw(std::uint64_t(aInput.size())) +
+                 Raw(core::Hash64(aInput)) + std::string(aInput));
   }
 }
 
--- a/gen/commands_types.cpp
+++ b/gen/commands_types.cpp
@@ -2460,6 +2460,562 @@
 }
 
 
+ServerOrder::~ServerOrder() noexcept {
+}
+
+
+void ServerOrder::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void ServerOrder::__set_startedAt(const int64_t val) {
+  this->startedAt = val;
+}
+
+void ServerOrder::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void ServerOrder::__set_load(const bool val) {
+  this->load = val;
+}
+
+void ServerOrder::__set_target(const std::string& val) {
+  this->target = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAt);
+          this->__isset.startedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->load);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerOrder");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAt", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerOrder &a, ServerOrder &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.startedAt, b.startedAt);
+  swap(a.sequence, b.sequence);
+  swap(a.load, b.load);
+  swap(a.target, b.target);
+  swap(a.__isset, b.__isset);
+}
+
+ServerOrder::ServerOrder(const ServerOrder& other40) {
+  server = other40.server;
+  startedAt = other40.startedAt;
+  sequence = other40.sequence;
+  load = other40.load;
+  target = other40.target;
+  __isset = other40.__isset;
+}
+ServerOrder& ServerOrder::operator=(const ServerOrder& other41) {
+  server = other41.server;
+  startedAt = other41.startedAt;
+  sequence = other41.sequence;
+  load = other41.load;
+  target = other41.target;
+  __isset = other41.__isset;
+  return *this;
+}
+void ServerOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerOrder(";
+  out << "server=" << to_string(server);
+  out << ", " << "startedAt=" << to_string(startedAt);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "load=" << to_string(load);
+  out << ", " << "target=" << to_string(target);
+  out << ")";
+}
+
+
+RecordOrders::~RecordOrders() noexcept {
+}
+
+
+void RecordOrders::__set_now(const int64_t val) {
+  this->now = val;
+}
+
+void RecordOrders::__set_lease(const int64_t val) {
+  this->lease = val;
+}
+
+void RecordOrders::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void RecordOrders::__set_orders(const std::vector<ServerOrder> & val) {
+  this->orders = val;
+}
+
+void RecordOrders::__set_ended(const std::vector<int64_t> & val) {
+  this->ended = val;
+}
+std::ostream& operator<<(std::ostream& out, const RecordOrders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RecordOrders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->now);
+          this->__isset.now = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->orders.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->orders.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += this->orders[_i46].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->ended.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
+            {
+              xfer += iprot->readI64(this->ended[_i51]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RecordOrders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RecordOrders");
+
+  xfer += oprot->writeFieldBegin("now", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->now);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lease);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
+    std::vector<ServerOrder> ::const_iterator _iter52;
+    for (_iter52 = this->orders.begin(); _iter52 != this->orders.end(); ++_iter52)
+    {
+      xfer += (*_iter52).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ended.size()));
+    std::vector<int64_t> ::const_iterator _iter53;
+    for (_iter53 = this->ended.begin(); _iter53 != this->ended.end(); ++_iter53)
+    {
+      xfer += oprot->writeI64((*_iter53));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RecordOrders &a, RecordOrders &b) {
+  using ::std::swap;
+  swap(a.now, b.now);
+  swap(a.lease, b.lease);
+  swap(a.complete, b.complete);
+  swap(a.orders, b.orders);
+  swap(a.ended, b.ended);
+  swap(a.__isset, b.__isset);
+}
+
+RecordOrders::RecordOrders(const RecordOrders& other54) {
+  now = other54.now;
+  lease = other54.lease;
+  complete = other54.complete;
+  orders = other54.orders;
+  ended = other54.ended;
+  __isset = other54.__isset;
+}
+RecordOrders& RecordOrders::operator=(const RecordOrders& other55) {
+  now = other55.now;
+  lease = other55.lease;
+  complete = other55.complete;
+  orders = other55.orders;
+  ended = other55.ended;
+  __isset = other55.__isset;
+  return *this;
+}
+void RecordOrders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RecordOrders(";
+  out << "now=" << to_string(now);
+  out << ", " << "lease=" << to_string(lease);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "orders=" << to_string(orders);
+  out << ", " << "ended=" << to_string(ended);
+  out << ")";
+}
+
+
+EndOrders::~EndOrders() noexcept {
+}
+
+
+void EndOrders::__set_now(const int64_t val) {
+  this->now = val;
+}
+
+void EndOrders::__set_lease(const int64_t val) {
+  this->lease = val;
+}
+
+void EndOrders::__set_complete(const bool val) {
+  this->complete = val;
+}
+
+void EndOrders::__set_ended(const std::vector<int64_t> & val) {
+  this->ended = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndOrders& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndOrders::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->now);
+          this->__isset.now = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->complete);
+          this->__isset.complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->ended.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
+            {
+              xfer += iprot->readI64(this->ended[_i60]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndOrders::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndOrders");
+
+  xfer += oprot->writeFieldBegin("now", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->now);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lease);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("complete", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ended.size()));
+    std::vector<int64_t> ::const_iterator _iter61;
+    for (_iter61 = this->ended.begin(); _iter61 != this->ended.end(); ++_iter61)
+    {
+      xfer += oprot->writeI64((*_iter61));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndOrders &a, EndOrders &b) {
+  using ::std::swap;
+  swap(a.now, b.now);
+  swap(a.lease, b.lease);
+  swap(a.complete, b.complete);
+  swap(a.ended, b.ended);
+  swap(a.__isset, b.__isset);
+}
+
+EndOrders::EndOrders(const EndOrders& other62) {
+  now = other62.now;
+  lease = other62.lease;
+  complete = other62.complete;
+  ended = other62.ended;
+  __isset = other62.__isset;
+}
+EndOrders& EndOrders::operator=(const EndOrders& other63) {
+  now = other63.now;
+  lease = other63.lease;
+  complete = other63.complete;
+  ended = other63.ended;
+  __isset = other63.__isset;
+  return *this;
+}
+void EndOrders::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndOrders(";
+  out << "now=" << to_string(now);
+  out << ", " << "lease=" << to_string(lease);
+  out << ", " << "complete=" << to_string(complete);
+  out << ", " << "ended=" << to_string(ended);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -2537,6 +3093,16 @@
   this->publishRoutes = val;
 __isset.publishRoutes = true;
 }
+
+void Command::__set_recordOrders(const RecordOrders& val) {
+  this->recordOrders = val;
+__isset.recordOrders = true;
+}
+
+void Command::__set_endOrders(const EndOrders& val) {
+  this->endOrders = val;
+__isset.endOrders = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -2685,6 +3251,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordOrders.read(iprot);
+          this->__isset.recordOrders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endOrders.read(iprot);
+          this->__isset.endOrders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2776,6 +3358,16 @@
     xfer += this->publishRoutes.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.recordOrders) {
+    xfer += oprot->writeFieldBegin("recordOrders", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->recordOrders.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endOrders) {
+    xfer += oprot->writeFieldBegin("endOrders", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->endOrders.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2798,44 +3390,50 @@
   swap(a.releaseQuarantine, b.releaseQuarantine);
   swap(a.advanceTime, b.advanceTime);
   swap(a.publishRoutes, b.publishRoutes);
+  swap(a.recordOrders, b.recordOrders);
+  swap(a.endOrders, b.endOrders);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other40) {
-  version = other40.version;
-  changeSettings = other40.changeSettings;
-  decideLoad = other40.decideLoad;
-  decideUnload = other40.decideUnload;
-  observeOrder = other40.observeOrder;
-  adoptReplica = other40.adoptReplica;
-  loseReplica = other40.loseReplica;
-  forgetServer = other40.forgetServer;
-  claim = other40.claim;
-  recordOutcome = other40.recordOutcome;
-  setDrain = other40.setDrain;
-  reportCrash = other40.reportCrash;
-  releaseQuarantine = other40.releaseQuarantine;
-  advanceTime = other40.advanceTime;
-  publishRoutes = other40.publishRoutes;
-  __isset = other40.__isset;
+Command::Command(const Command& other64) {
+  version = other64.version;
+  changeSettings = other64.changeSettings;
+  decideLoad = other64.decideLoad;
+  decideUnload = other64.decideUnload;
+  observeOrder = other64.observeOrder;
+  adoptReplica = other64.adoptReplica;
+  loseReplica = other64.loseReplica;
+  forgetServer = other64.forgetServer;
+  claim = other64.claim;
+  recordOutcome = other64.recordOutcome;
+  setDrain = other64.setDrain;
+  reportCrash = other64.reportCrash;
+  releaseQuarantine = other64.releaseQuarantine;
+  advanceTime = other64.advanceTime;
+  publishRoutes = other64.publishRoutes;
+  recordOrders = other64.recordOrders;
+  endOrders = other64.endOrders;
+  __isset = other64.__isset;
 }
-Command& Command::operator=(const Command& other41) {
-  version = other41.version;
-  changeSettings = other41.changeSettings;
-  decideLoad = other41.decideLoad;
-  decideUnload = other41.decideUnload;
-  observeOrder = other41.observeOrder;
-  adoptReplica = other41.adoptReplica;
-  loseReplica = other41.loseReplica;
-  forgetServer = other41.forgetServer;
-  claim = other41.claim;
-  recordOutcome = other41.recordOutcome;
-  setDrain = other41.setDrain;
-  reportCrash = other41.reportCrash;
-  releaseQuarantine = other41.releaseQuarantine;
-  advanceTime = other41.advanceTime;
-  publishRoutes = other41.publishRoutes;
-  __isset = other41.__isset;
+Command& Command::operator=(const Command& other65) {
+  version = other65.version;
+  changeSettings = other65.changeSettings;
+  decideLoad = other65.decideLoad;
+  decideUnload = other65.decideUnload;
+  observeOrder = other65.observeOrder;
+  adoptReplica = other65.adoptReplica;
+  loseReplica = other65.loseReplica;
+  forgetServer = other65.forgetServer;
+  claim = other65.claim;
+  recordOutcome = other65.recordOutcome;
+  setDrain = other65.setDrain;
+  reportCrash = other65.reportCrash;
+  releaseQuarantine = other65.releaseQuarantine;
+  advanceTime = other65.advanceTime;
+  publishRoutes = other65.publishRoutes;
+  recordOrders = other65.recordOrders;
+  endOrders = other65.endOrders;
+  __isset = other65.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -2856,6 +3454,8 @@
   out << ", " << "releaseQuarantine="; (__isset.releaseQuarantine ? (out << to_string(releaseQuarantine)) : (out << "<null>"));
   out << ", " << "advanceTime="; (__isset.advanceTime ? (out << to_string(advanceTime)) : (out << "<null>"));
   out << ", " << "publishRoutes="; (__isset.publishRoutes ? (out << to_string(publishRoutes)) : (out << "<null>"));
+  out << ", " << "recordOrders="; (__isset.recordOrders ? (out << to_string(recordOrders)) : (out << "<null>"));
+  out << ", " << "endOrders="; (__isset.endOrders ? (out << to_string(endOrders)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2955,14 +3555,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->winnerPaths.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->winnerPaths.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->winnerPaths.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += iprot->readString(this->winnerPaths[_i46]);
+              xfer += iprot->readString(this->winnerPaths[_i70]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3023,10 +3623,10 @@
   xfer += oprot->writeFieldBegin("winnerPaths", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->winnerPaths.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->winnerPaths.begin(); _iter47 != this->winnerPaths.end(); ++_iter47)
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = this->winnerPaths.begin(); _iter71 != this->winnerPaths.end(); ++_iter71)
     {
-      xfer += oprot->writeString((*_iter47));
+      xfer += oprot->writeString((*_iter71));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3057,25 +3657,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ChangeAnswer::ChangeAnswer(const ChangeAnswer& other48) {
-  result = other48.result;
-  revision = other48.revision;
-  winner = other48.winner;
-  winnerRevision = other48.winnerRevision;
-  winnerPaths = other48.winnerPaths;
-  repeated = other48.repeated;
-  detail = other48.detail;
-  __isset = other48.__isset;
-}
-ChangeAnswer& ChangeAnswer::operator=(const ChangeAnswer& other49) {
-  result = other49.result;
-  revision = other49.revision;
-  winner = other49.winner;
-  winnerRevision = other49.winnerRevision;
-  winnerPaths = other49.winnerPaths;
-  repeated = other49.repeated;
-  detail = other49.detail;
-  __isset = other49.__isset;
+ChangeAnswer::ChangeAnswer(const ChangeAnswer& other72) {
+  result = other72.result;
+  revision = other72.revision;
+  winner = other72.winner;
+  winnerRevision = other72.winnerRevision;
+  winnerPaths = other72.winnerPaths;
+  repeated = other72.repeated;
+  detail = other72.detail;
+  __isset = other72.__isset;
+}
+ChangeAnswer& ChangeAnswer::operator=(const ChangeAnswer& other73) {
+  result = other73.result;
+  revision = other73.revision;
+  winner = other73.winner;
+  winnerRevision = other73.winnerRevision;
+  winnerPaths = other73.winnerPaths;
+  repeated = other73.repeated;
+  detail = other73.detail;
+  __isset = other73.__isset;
   return *this;
 }
 void ChangeAnswer::printTo(std::ostream& out) const {
@@ -3184,15 +3784,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DecisionAnswer::DecisionAnswer(const DecisionAnswer& other50) noexcept {
-  result = other50.result;
-  order = other50.order;
-  __isset = other50.__isset;
+DecisionAnswer::DecisionAnswer(const DecisionAnswer& other74) noexcept {
+  result = other74.result;
+  order = other74.order;
+  __isset = other74.__isset;
 }
-DecisionAnswer& DecisionAnswer::operator=(const DecisionAnswer& other51) noexcept {
-  result = other51.result;
-  order = other51.order;
-  __isset = other51.__isset;
+DecisionAnswer& DecisionAnswer::operator=(const DecisionAnswer& other75) noexcept {
+  result = other75.result;
+  order = other75.order;
+  __isset = other75.__isset;
   return *this;
 }
 void DecisionAnswer::printTo(std::ostream& out) const {
@@ -3279,13 +3879,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ObservationAnswer::ObservationAnswer(const ObservationAnswer& other52) noexcept {
-  result = other52.result;
-  __isset = other52.__isset;
+ObservationAnswer::ObservationAnswer(const ObservationAnswer& other76) noexcept {
+  result = other76.result;
+  __isset = other76.__isset;
 }
-ObservationAnswer& ObservationAnswer::operator=(const ObservationAnswer& other53) noexcept {
-  result = other53.result;
-  __isset = other53.__isset;
+ObservationAnswer& ObservationAnswer::operator=(const ObservationAnswer& other77) noexcept {
+  result = other77.result;
+  __isset = other77.__isset;
   return *this;
 }
 void ObservationAnswer::printTo(std::ostream& out) const {
@@ -3388,15 +3988,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAnswer::ClaimAnswer(const ClaimAnswer& other54) {
-  result = other54.result;
-  answer = other54.answer;
-  __isset = other54.__isset;
+ClaimAnswer::ClaimAnswer(const ClaimAnswer& other78) {
+  result = other78.result;
+  answer = other78.answer;
+  __isset = other78.__isset;
 }
-ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other55) {
-  result = other55.result;
-  answer = other55.answer;
-  __isset = other55.__isset;
+ClaimAnswer& ClaimAnswer::operator=(const ClaimAnswer& other79) {
+  result = other79.result;
+  answer = other79.answer;
+  __isset = other79.__isset;
   return *this;
 }
 void ClaimAnswer::printTo(std::ostream& out) const {
@@ -3483,13 +4083,13 @@
   swap(a.__isset, b.__isset);
 }
 
-RecordAnswer::RecordAnswer(const RecordAnswer& other56) noexcept {
-  result = other56.result;
-  __isset = other56.__isset;
+RecordAnswer::RecordAnswer(const RecordAnswer& other80) noexcept {
+  result = other80.result;
+  __isset = other80.__isset;
 }
-RecordAnswer& RecordAnswer::operator=(const RecordAnswer& other57) noexcept {
-  result = other57.result;
-  __isset = other57.__isset;
+RecordAnswer& RecordAnswer::operator=(const RecordAnswer& other81) noexcept {
+  result = other81.result;
+  __isset = other81.__isset;
   return *this;
 }
 void RecordAnswer::printTo(std::ostream& out) const {
@@ -3575,13 +4175,13 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainAnswer::DrainAnswer(const DrainAnswer& other58) noexcept {
-  changed = other58.changed;
-  __isset = other58.__isset;
+DrainAnswer::DrainAnswer(const DrainAnswer& other82) noexcept {
+  changed = other82.changed;
+  __isset = other82.__isset;
 }
-DrainAnswer& DrainAnswer::operator=(const DrainAnswer& other59) noexcept {
-  changed = other59.changed;
-  __isset = other59.__isset;
+DrainAnswer& DrainAnswer::operator=(const DrainAnswer& other83) noexcept {
+  changed = other83.changed;
+  __isset = other83.__isset;
   return *this;
 }
 void DrainAnswer::printTo(std::ostream& out) const {
@@ -3701,17 +4301,17 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineAnswer::QuarantineAnswer(const QuarantineAnswer& other60) noexcept {
-  held = other60.held;
-  servers = other60.servers;
-  heldUntil = other60.heldUntil;
-  __isset = other60.__isset;
+QuarantineAnswer::QuarantineAnswer(const QuarantineAnswer& other84) noexcept {
+  held = other84.held;
+  servers = other84.servers;
+  heldUntil = other84.heldUntil;
+  __isset = other84.__isset;
 }
-QuarantineAnswer& QuarantineAnswer::operator=(const QuarantineAnswer& other61) noexcept {
-  held = other61.held;
-  servers = other61.servers;
-  heldUntil = other61.heldUntil;
-  __isset = other61.__isset;
+QuarantineAnswer& QuarantineAnswer::operator=(const QuarantineAnswer& other85) noexcept {
+  held = other85.held;
+  servers = other85.servers;
+  heldUntil = other85.heldUntil;
+  __isset = other85.__isset;
   return *this;
 }
 void QuarantineAnswer::printTo(std::ostream& out) const {
@@ -3799,13 +4399,13 @@
   swap(a.__isset, b.__isset);
 }
 
-TimeAnswer::TimeAnswer(const TimeAnswer& other62) noexcept {
-  now = other62.now;
-  __isset = other62.__isset;
+TimeAnswer::TimeAnswer(const TimeAnswer& other86) noexcept {
+  now = other86.now;
+  __isset = other86.__isset;
 }
-TimeAnswer& TimeAnswer::operator=(const TimeAnswer& other63) noexcept {
-  now = other63.now;
-  __isset = other63.__isset;
+TimeAnswer& TimeAnswer::operator=(const TimeAnswer& other87) noexcept {
+  now = other87.now;
+  __isset = other87.__isset;
   return *this;
 }
 void TimeAnswer::printTo(std::ostream& out) const {
@@ -3908,15 +4508,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PublishAnswer::PublishAnswer(const PublishAnswer& other64) noexcept {
-  adopted = other64.adopted;
-  version = other64.version;
-  __isset = other64.__isset;
+PublishAnswer::PublishAnswer(const PublishAnswer& other88) noexcept {
+  adopted = other88.adopted;
+  version = other88.version;
+  __isset = other88.__isset;
 }
-PublishAnswer& PublishAnswer::operator=(const PublishAnswer& other65) noexcept {
-  adopted = other65.adopted;
-  version = other65.version;
-  __isset = other65.__isset;
+PublishAnswer& PublishAnswer::operator=(const PublishAnswer& other89) noexcept {
+  adopted = other89.adopted;
+  version = other89.version;
+  __isset = other89.__isset;
   return *this;
 }
 void PublishAnswer::printTo(std::ostream& out) const {
@@ -3928,6 +4528,118 @@
 }
 
 
+OrdersAnswer::~OrdersAnswer() noexcept {
+}
+
+
+void OrdersAnswer::__set_numbers(const std::vector<int64_t> & val) {
+  this->numbers = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrdersAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrdersAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->numbers.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->numbers.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += iprot->readI64(this->numbers[_i94]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.numbers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OrdersAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrdersAnswer");
+
+  xfer += oprot->writeFieldBegin("numbers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->numbers.size()));
+    std::vector<int64_t> ::const_iterator _iter95;
+    for (_iter95 = this->numbers.begin(); _iter95 != this->numbers.end(); ++_iter95)
+    {
+      xfer += oprot->writeI64((*_iter95));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrdersAnswer &a, OrdersAnswer &b) {
+  using ::std::swap;
+  swap(a.numbers, b.numbers);
+  swap(a.__isset, b.__isset);
+}
+
+OrdersAnswer::OrdersAnswer(const OrdersAnswer& other96) {
+  numbers = other96.numbers;
+  __isset = other96.__isset;
+}
+OrdersAnswer& OrdersAnswer::operator=(const OrdersAnswer& other97) {
+  numbers = other97.numbers;
+  __isset = other97.__isset;
+  return *this;
+}
+void OrdersAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrdersAnswer(";
+  out << "numbers=" << to_string(numbers);
+  out << ")";
+}
+
+
 Answer::~Answer() noexcept {
 }
 
@@ -3980,6 +4692,11 @@
   this->publish = val;
 __isset.publish = true;
 }
+
+void Answer::__set_orders(const OrdersAnswer& val) {
+  this->orders = val;
+__isset.orders = true;
+}
 std::ostream& operator<<(std::ostream& out, const Answer& obj)
 {
   obj.printTo(out);
@@ -4088,6 +4805,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->orders.read(iprot);
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4154,6 +4879,11 @@
     xfer += this->publish.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.orders) {
+    xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->orders.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4171,34 +4901,37 @@
   swap(a.quarantine, b.quarantine);
   swap(a.time, b.time);
   swap(a.publish, b.publish);
+  swap(a.orders, b.orders);
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other66) {
-  version = other66.version;
-  change = other66.change;
-  decision = other66.decision;
-  observation = other66.observation;
-  claim = other66.claim;
-  record = other66.record;
-  drain = other66.drain;
-  quarantine = other66.quarantine;
-  time = other66.time;
-  publish = other66.publish;
-  __isset = other66.__isset;
-}
-Answer& Answer::operator=(const Answer& other67) {
-  version = other67.version;
-  change = other67.change;
-  decision = other67.decision;
-  observation = other67.observation;
-  claim = other67.claim;
-  record = other67.record;
-  drain = other67.drain;
-  quarantine = other67.quarantine;
-  time = other67.time;
-  publish = other67.publish;
-  __isset = other67.__isset;
+Answer::Answer(const Answer& other98) {
+  version = other98.version;
+  change = other98.change;
+  decision = other98.decision;
+  observation = other98.observation;
+  claim = other98.claim;
+  record = other98.record;
+  drain = other98.drain;
+  quarantine = other98.quarantine;
+  time = other98.time;
+  publish = other98.publish;
+  orders = other98.orders;
+  __isset = other98.__isset;
+}
+Answer& Answer::operator=(const Answer& other99) {
+  version = other99.version;
+  change = other99.change;
+  decision = other99.decision;
+  observation = other99.observation;
+  claim = other99.claim;
+  record = other99.record;
+  drain = other99.drain;
+  quarantine = other99.quarantine;
+  time = other99.time;
+  publish = other99.publish;
+  orders = other99.orders;
+  __isset = other99.__isset;
   return *this;
 }
 void Answer::printTo(std::ostream& out) const {
@@ -4214,6 +4947,7 @@
   out << ", " << "quarantine="; (__isset.quarantine ? (out << to_string(quarantine)) : (out << "<null>"));
   out << ", " << "time="; (__isset.time ? (out << to_string(time)) : (out << "<null>"));
   out << ", " << "publish="; (__isset.publish ? (out << to_string(publish)) : (out << "<null>"));
+  out << ", " << "orders="; (__isset.orders ? (out << to_string(orders)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/commands_types.h
+++ b/gen/commands_types.h
@@ -55,6 +55,12 @@
 
 class PublishRoutes;
 
+class ServerOrder;
+
+class RecordOrders;
+
+class EndOrders;
+
 class Command;
 
 class ChangeAnswer;
@@ -75,6 +81,8 @@
 
 class PublishAnswer;
 
+class OrdersAnswer;
+
 class Answer;
 
 typedef struct _Digest__isset {
@@ -1106,8 +1114,211 @@
 
 std::ostream& operator<<(std::ostream& out, const PublishRoutes& obj);
 
+typedef struct _ServerOrder__isset {
+  _ServerOrder__isset() : server(false), startedAt(false), sequence(false), load(false), target(false) {}
+  bool server :1;
+  bool startedAt :1;
+  bool sequence :1;
+  bool load :1;
+  bool target :1;
+} _ServerOrder__isset;
+
+class ServerOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerOrder(const ServerOrder&);
+  ServerOrder& operator=(const ServerOrder&);
+  ServerOrder() noexcept
+              : server(),
+                startedAt(0),
+                sequence(0),
+                load(0),
+                target() {
+  }
+
+  virtual ~ServerOrder() noexcept;
+  std::string server;
+  int64_t startedAt;
+  int64_t sequence;
+  bool load;
+  std::string target;
+
+  _ServerOrder__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_startedAt(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_load(const bool val);
+
+  void __set_target(const std::string& val);
+
+  bool operator == (const ServerOrder & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(startedAt == rhs.startedAt))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerOrder &a, ServerOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerOrder& obj);
+
+typedef struct _RecordOrders__isset {
+  _RecordOrders__isset() : now(false), lease(false), complete(false), orders(false), ended(false) {}
+  bool now :1;
+  bool lease :1;
+  bool complete :1;
+  bool orders :1;
+  bool ended :1;
+} _RecordOrders__isset;
+
+class RecordOrders : public virtual ::apache::thrift::TBase {
+ public:
+
+  RecordOrders(const RecordOrders&);
+  RecordOrders& operator=(const RecordOrders&);
+  RecordOrders() noexcept
+               : now(0),
+                 lease(0),
+                 complete(0) {
+  }
+
+  virtual ~RecordOrders() noexcept;
+  int64_t now;
+  int64_t lease;
+  bool complete;
+  std::vector<ServerOrder>  orders;
+  std::vector<int64_t>  ended;
+
+  _RecordOrders__isset __isset;
+
+  void __set_now(const int64_t val);
+
+  void __set_lease(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_orders(const std::vector<ServerOrder> & val);
+
+  void __set_ended(const std::vector<int64_t> & val);
+
+  bool operator == (const RecordOrders & rhs) const
+  {
+    if (!(now == rhs.now))
+      return false;
+    if (!(lease == rhs.lease))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(orders == rhs.orders))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    return true;
+  }
+  bool operator != (const RecordOrders &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RecordOrders & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RecordOrders &a, RecordOrders &b);
+
+std::ostream& operator<<(std::ostream& out, const RecordOrders& obj);
+
+typedef struct _EndOrders__isset {
+  _EndOrders__isset() : now(false), lease(false), complete(false), ended(false) {}
+  bool now :1;
+  bool lease :1;
+  bool complete :1;
+  bool ended :1;
+} _EndOrders__isset;
+
+class EndOrders : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndOrders(const EndOrders&);
+  EndOrders& operator=(const EndOrders&);
+  EndOrders() noexcept
+            : now(0),
+              lease(0),
+              complete(0) {
+  }
+
+  virtual ~EndOrders() noexcept;
+  int64_t now;
+  int64_t lease;
+  bool complete;
+  std::vector<int64_t>  ended;
+
+  _EndOrders__isset __isset;
+
+  void __set_now(const int64_t val);
+
+  void __set_lease(const int64_t val);
+
+  void __set_complete(const bool val);
+
+  void __set_ended(const std::vector<int64_t> & val);
+
+  bool operator == (const EndOrders & rhs) const
+  {
+    if (!(now == rhs.now))
+      return false;
+    if (!(lease == rhs.lease))
+      return false;
+    if (!(complete == rhs.complete))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    return true;
+  }
+  bool operator != (const EndOrders &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndOrders & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndOrders &a, EndOrders &b);
+
+std::ostream& operator<<(std::ostream& out, const EndOrders& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : version(false), changeSettings(false), decideLoad(false), decideUnload(false), observeOrder(false), adoptReplica(false), loseReplica(false), forgetServer(false), claim(false), recordOutcome(false), setDrain(false), reportCrash(false), releaseQuarantine(false), advanceTime(false), publishRoutes(false) {}
+  _Command__isset() : version(false), changeSettings(false), decideLoad(false), decideUnload(false), observeOrder(false), adoptReplica(false), loseReplica(false), forgetServer(false), claim(false), recordOutcome(false), setDrain(false), reportCrash(false), releaseQuarantine(false), advanceTime(false), publishRoutes(false), recordOrders(false), endOrders(false) {}
   bool version :1;
   bool changeSettings :1;
   bool decideLoad :1;
@@ -1123,6 +1334,8 @@
   bool releaseQuarantine :1;
   bool advanceTime :1;
   bool publishRoutes :1;
+  bool recordOrders :1;
+  bool endOrders :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1150,6 +1363,8 @@
   ReleaseQuarantine releaseQuarantine;
   AdvanceTime advanceTime;
   PublishRoutes publishRoutes;
+  RecordOrders recordOrders;
+  EndOrders endOrders;
 
   _Command__isset __isset;
 
@@ -1183,6 +1398,10 @@
 
   void __set_publishRoutes(const PublishRoutes& val);
 
+  void __set_recordOrders(const RecordOrders& val);
+
+  void __set_endOrders(const EndOrders& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(version == rhs.version))
@@ -1243,6 +1462,14 @@
       return false;
     else if (__isset.publishRoutes && !(publishRoutes == rhs.publishRoutes))
       return false;
+    if (__isset.recordOrders != rhs.__isset.recordOrders)
+      return false;
+    else if (__isset.recordOrders && !(recordOrders == rhs.recordOrders))
+      return false;
+    if (__isset.endOrders != rhs.__isset.endOrders)
+      return false;
+    else if (__isset.endOrders && !(endOrders == rhs.endOrders))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -1723,8 +1950,50 @@
 
 std::ostream& operator<<(std::ostream& out, const PublishAnswer& obj);
 
+typedef struct _OrdersAnswer__isset {
+  _OrdersAnswer__isset() : numbers(false) {}
+  bool numbers :1;
+} _OrdersAnswer__isset;
+
+class OrdersAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrdersAnswer(const OrdersAnswer&);
+  OrdersAnswer& operator=(const OrdersAnswer&);
+  OrdersAnswer() noexcept {
+  }
+
+  virtual ~OrdersAnswer() noexcept;
+  std::vector<int64_t>  numbers;
+
+  _OrdersAnswer__isset __isset;
+
+  void __set_numbers(const std::vector<int64_t> & val);
+
+  bool operator == (const OrdersAnswer & rhs) const
+  {
+    if (!(numbers == rhs.numbers))
+      return false;
+    return true;
+  }
+  bool operator != (const OrdersAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrdersAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrdersAnswer &a, OrdersAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const OrdersAnswer& obj);
+
 typedef struct _Answer__isset {
-  _Answer__isset() : version(false), change(false), decision(false), observation(false), claim(false), record(false), drain(false), quarantine(false), time(false), publish(false) {}
+  _Answer__isset() : version(false), change(false), decision(false), observation(false), claim(false), record(false), drain(false), quarantine(false), time(false), publish(false), orders(false) {}
   bool version :1;
   bool change :1;
   bool decision :1;
@@ -1735,6 +2004,7 @@
   bool quarantine :1;
   bool time :1;
   bool publish :1;
+  bool orders :1;
 } _Answer__isset;
 
 class Answer : public virtual ::apache::thrift::TBase {
@@ -1757,6 +2027,7 @@
   QuarantineAnswer quarantine;
   TimeAnswer time;
   PublishAnswer publish;
+  OrdersAnswer orders;
 
   _Answer__isset __isset;
 
@@ -1780,6 +2051,8 @@
 
   void __set_publish(const PublishAnswer& val);
 
+  void __set_orders(const OrdersAnswer& val);
+
   bool operator == (const Answer & rhs) const
   {
     if (!(version == rhs.version))
@@ -1820,6 +2093,10 @@
       return false;
     else if (__isset.publish && !(publish == rhs.publish))
       return false;
+    if (__isset.orders != rhs.__isset.orders)
+      return false;
+    else if (__isset.orders && !(orders == rhs.orders))
+      return false;
     return true;
   }
   bool operator != (const Answer &rhs) const {
--- a/state/Answer.hpp
+++ b/state/Answer.hpp
@@ -133,6 +133,13 @@
   std::uint64_t version_ = 0;
 };
 
+struct OrdersAnswer
+{
+  /// A number for each recorded order; 0 if the table is full, so that the
+  /// order must not be sent.
+  std::vector<std::uint64_t> numbers_;
+};
+
 using Answer = std::variant<ChangeAnswer,
                             DecisionAnswer,
                             ObservationAnswer,
@@ -141,6 +148,7 @@
                             DrainAnswer,
                             QuarantineAnswer,
                             TimeAnswer,
-                            PublishAnswer>;
+                            PublishAnswer,
+                            OrdersAnswer>;
 
 } // namespace crocusslip::state
--- a/state/AnswerCodec.cpp
+++ b/state/AnswerCodec.cpp
@@ -88,6 +88,13 @@
     publish.version = static_cast<std::int64_t>(aAnswer.version_);
     out_.__set_publish(publish);
   }
+
+  void operator()(const OrdersAnswer& aAnswer) const
+  {
+    wire::OrdersAnswer orders;
+    orders.numbers = ToSigned(aAnswer.numbers_);
+    out_.__set_orders(orders);
+  }
 };
 
 ChangeAnswer
@@ -147,6 +154,9 @@
       PublishAnswer{ aRecord.publish.adopted,
                      static_cast<std::uint64_t>(aRecord.publish.version) });
   }
+  if (set.orders) {
+    found.emplace_back(OrdersAnswer{ FromSigned(aRecord.orders.numbers) });
+  }
   return found;
 }
 
--- a/state/Command.hpp
+++ b/state/Command.hpp
@@ -203,6 +203,42 @@
   std::string document_;
 };
 
+/// An order to a backend server that is about to be sent.
+struct ServerOrder
+{
+  core::ServerId server_;
+  /// The start of the server that its sequence counts from.
+  std::int64_t startedAt_ = 0;
+  /// Sequence that the order is sent with.
+  std::int64_t sequence_ = 0;
+  /// Otherwise an order to unload.
+  bool load_ = true;
+  /// "MODEL", or "MODEL/ADAPTER".
+  std::string target_;
+
+  friend bool operator==(const ServerOrder&, const ServerOrder&) = default;
+};
+
+/// Tells that orders have ended: each was answered, or can't be carried out any
+/// more. Unknown numbers have no effect.
+struct EndOrders
+{
+  /// Time on the leader's monotonic clock.
+  std::chrono::milliseconds now_{ 0 };
+  /// Time for which a server remembers the holder of its last order.
+  std::chrono::milliseconds lease_{ 0 };
+  /// Each order that may still be carried out is in the table.
+  bool complete_ = false;
+  std::vector<std::uint64_t> ended_;
+};
+
+/// Records orders before they are sent; ends others, too.
+struct RecordOrders
+{
+  EndOrders end_;
+  std::vector<ServerOrder> orders_;
+};
+
 using Command = std::variant<ChangeSettings,
                              DecideLoad,
                              DecideUnload,
@@ -216,6 +252,8 @@
                              ReportCrash,
                              ReleaseQuarantine,
                              AdvanceTime,
-                             PublishRoutes>;
+                             PublishRoutes,
+                             RecordOrders,
+                             EndOrders>;
 
 } // namespace crocusslip::state
--- a/state/CommandCodec.cpp
+++ b/state/CommandCodec.cpp
@@ -157,6 +157,37 @@
     advance.now = FromTime(aCommand.now_);
     out_.__set_advanceTime(advance);
   }
+
+  void operator()(const RecordOrders& aCommand) const
+  {
+    wire::RecordOrders record;
+    record.now = aCommand.end_.now_.count();
+    record.lease = aCommand.end_.lease_.count();
+    record.complete = aCommand.end_.complete_;
+    record.orders.reserve(aCommand.orders_.size());
+    for (const ServerOrder& order : aCommand.orders_) {
+      wire::ServerOrder& out = record.orders.emplace_back();
+      out.server = order.server_.Value();
+      out.startedAt = order.startedAt_;
+      out.sequence = order.sequence_;
+      out.load = order.load_;
+      out.target = order.target_;
+    }
+    record.ended = ToSigned(aCommand.end_.ended_);
+    out_.__set_recordOrders(record);
+    out_.__set_advanceTime(wire::AdvanceTime());
+  }
+
+  void operator()(const EndOrders& aCommand) const
+  {
+    wire::EndOrders end;
+    end.now = aCommand.now_.count();
+    end.lease = aCommand.lease_.count();
+    end.complete = aCommand.complete_;
+    end.ended = ToSigned(aCommand.ended_);
+    out_.__set_endOrders(end);
+    out_.__set_advanceTime(wire::AdvanceTime());
+  }
 };
 
 ChangeSettings
@@ -238,6 +269,32 @@
            core::OperatorId(std::move(aDrain.operatorId)) };
 }
 
+template<typename Record>
+EndOrders
+EndOrdersFrom(const Record& aRecord)
+{
+  return { ToDuration(aRecord.now),
+           ToDuration(aRecord.lease),
+           aRecord.complete,
+           FromSigned(aRecord.ended) };
+}
+
+RecordOrders
+CommandFrom(wire::RecordOrders& aRecord)
+{
+  RecordOrders out;
+  out.end_ = EndOrdersFrom(aRecord);
+  out.orders_.reserve(aRecord.orders.size());
+  for (wire::ServerOrder& order : aRecord.orders) {
+    out.orders_.push_back({ core::ServerId(std::move(order.server)),
+                            order.startedAt,
+                            order.sequence,
+                            order.load,
+                            std::move(order.target) });
+  }
+  return out;
+}
+
 std::vector<Command>
 CommandsIn(wire::Command& aRecord)
 {
@@ -294,7 +351,13 @@
       std::move(aRecord.releaseQuarantine.fingerprint),
       core::OperatorId(aRecord.releaseQuarantine.operatorId) });
   }
-  if (set.advanceTime) {
+  if (set.recordOrders) {
+    found.emplace_back(CommandFrom(aRecord.recordOrders));
+  }
+  if (set.endOrders) {
+    found.emplace_back(EndOrdersFrom(aRecord.endOrders));
+  }
+  if (set.advanceTime && !set.recordOrders && !set.endOrders) {
     found.emplace_back(AdvanceTime{ ToTime(aRecord.advanceTime.now) });
   }
   if (set.publishRoutes) {
--- a/state/SnapshotCodec.cpp
+++ b/state/SnapshotCodec.cpp
@@ -15,7 +15,6 @@
 using apache::thrift::transport::TMemoryBuffer;
 using Protocol = TCompactProtocolT<TMemoryBuffer>;
 
-constexpr std::uint32_t kSnapshotVersion = 1;
 constexpr std::uint32_t kMagic = 0x50534343; // "CCSP" in little-endian order
 constexpr std::uint32_t kInitialBytes = 64 * 1024;
 
@@ -135,7 +134,9 @@
   if (ok_ && header.magic_ != kMagic) {
     Fail("not a snapshot");
   }
-  if (ok_ && header.version_ != kSnapshotVersion) {
+  version_ = header.version_;
+  if (ok_ && (header.version_ > kSnapshotVersion ||
+              header.version_ < kOldestSnapshotVersion)) {
     Fail("snapshot version " + std::to_string(header.version_));
     failure_.code_ = core::Errc::NewerVersion;
   }
--- a/state/SnapshotCodec.hpp
+++ b/state/SnapshotCodec.hpp
@@ -12,6 +12,10 @@
 
 namespace crocusslip::state {
 
+/// Version 2 added the orders to servers at the end.
+inline constexpr std::uint32_t kSnapshotVersion = 2;
+inline constexpr std::uint32_t kOldestSnapshotVersion = 1;
+
 /// Writes the values of a snapshot in Thrift's compact encoding.
 class SnapshotWriter
 {
@@ -96,6 +100,8 @@
     return static_cast<T>(value);
   }
 
+  /// Version of the format that the snapshot was written in.
+  std::uint32_t Version() const { return version_; }
   void Fail(std::string aDetail);
   bool Ok() const { return ok_; }
   /// Error unless all values were read without failure.
@@ -104,6 +110,7 @@
 private:
   struct Buffer;
   std::unique_ptr<Buffer> buffer_;
+  std::uint32_t version_ = kSnapshotVersion;
   bool ok_ = true;
   core::Error failure_;
 };
--- a/state/StateMachine.cpp
+++ b/state/StateMachine.cpp
@@ -111,6 +111,16 @@
     return state_.routes_.Publish(aCommand);
   }
 
+  Answer operator()(const RecordOrders& aCommand) const
+  {
+    return state_.serverOrders_.Record(term_, aCommand);
+  }
+
+  Answer operator()(const EndOrders& aCommand) const
+  {
+    return state_.serverOrders_.End(term_, aCommand);
+  }
+
   void Audit(const core::OperatorId& aOperator,
              std::string aAction,
              const std::string& aPath) const
@@ -168,6 +178,7 @@
   quarantine_.Write(aWriter);
   audit_.Write(aWriter);
   routes_.Write(aWriter);
+  serverOrders_.Write(aWriter);
 }
 
 void
@@ -182,6 +193,9 @@
   quarantine_.Read(aReader);
   audit_.Read(aReader);
   routes_.Read(aReader);
+  if (aReader.Version() > 1) {
+    serverOrders_.Read(aReader);
+  }
 }
 
 std::string
--- a/state/StateMachine.hpp
+++ b/state/StateMachine.hpp
@@ -11,6 +11,7 @@
 #include "state/OrderTable.hpp"
 #include "state/QuarantineTable.hpp"
 #include "state/RouteDocument.hpp"
+#include "state/ServerOrders.hpp"
 #include "state/SettingsTable.hpp"
 
 #include <string>
@@ -52,6 +53,7 @@
   const QuarantineTable& Quarantine() const { return quarantine_; }
   const AuditTrail& Audit() const { return audit_; }
   const RouteDocument& Routes() const { return routes_; }
+  const ServerOrders& OrdersToServers() const { return serverOrders_; }
   /// Replicas changed by commands after the given one.
   const ChangeFeed<ReplicaKey>& OrderChanges() const { return orderChanges_; }
   /// The last command that may have changed orders, drains or quarantine.
@@ -74,6 +76,7 @@
   QuarantineTable quarantine_;
   AuditTrail audit_;
   RouteDocument routes_;
+  ServerOrders serverOrders_;
   ChangeFeed<ReplicaKey> orderChanges_;
   core::LogIndex viewChangedAt_;
 };
--- a/state/WireRecord.hpp
+++ b/state/WireRecord.hpp
@@ -51,6 +51,18 @@
   return static_cast<std::int64_t>(aValue);
 }
 
+inline std::vector<std::int64_t>
+ToSigned(const std::vector<std::uint64_t>& aValues)
+{
+  return { aValues.begin(), aValues.end() };
+}
+
+inline std::vector<std::uint64_t>
+FromSigned(const std::vector<std::int64_t>& aValues)
+{
+  return { aValues.begin(), aValues.end() };
+}
+
 template<typename T>
 T
 Numbered(std::int64_t aValue)
--- a/state/commands.thrift
+++ b/state/commands.thrift
@@ -114,7 +114,33 @@
   2: binary document
 }
 
-// Exactly one of the optional fields is set.
+// load: else unload. target: "MODEL" or "MODEL/ADAPTER".
+struct ServerOrder {
+  1: string server
+  2: i64 startedAt
+  3: i64 sequence
+  4: bool load
+  5: string target
+}
+
+struct RecordOrders {
+  1: i64 now
+  2: i64 lease
+  3: bool complete
+  4: list<ServerOrder> orders
+  5: list<i64> ended
+}
+
+struct EndOrders {
+  1: i64 now
+  2: i64 lease
+  3: bool complete
+  4: list<i64> ended
+}
+
+// Exactly one of the optional fields is set, but recordOrders and endOrders
+// come with an advanceTime to 0: a member of the release before, which doesn't
+// know them, reads a command without effect instead of halting.
 struct Command {
   1: i32 version
   2: optional ChangeSettings changeSettings
@@ -131,6 +157,8 @@
   13: optional ReleaseQuarantine releaseQuarantine
   14: optional AdvanceTime advanceTime
   15: optional PublishRoutes publishRoutes
+  16: optional RecordOrders recordOrders
+  17: optional EndOrders endOrders
 }
 
 struct ChangeAnswer {
@@ -180,6 +208,10 @@
   2: i64 version
 }
 
+struct OrdersAnswer {
+  1: list<i64> numbers
+}
+
 // Exactly one of the optional fields is set.
 struct Answer {
   1: i32 version
@@ -192,4 +224,5 @@
   8: optional QuarantineAnswer quarantine
   9: optional TimeAnswer time
   10: optional PublishAnswer publish
+  11: optional OrdersAnswer orders
 }
--- a/tests/CommandCodecTest.cpp
+++ b/tests/CommandCodecTest.cpp
@@ -170,6 +170,25 @@
   BOOST_TEST((FailureOf(Written(record)) == core::Errc::InvalidInput));
 }
 
+// Guards against a member of the release before that halts at an order to a
+// server: it knows the time only, and skips the rest.
+BOOST_AUTO_TEST_CASE(writes_orders_to_servers_beside_a_time_without_effect)
+{
+  for (const Command& command :
+       { Command(RecordOrders()), Command(EndOrders()) }) {
+    const std::string bytes = Encode(command);
+    using apache::thrift::transport::TMemoryBuffer;
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    buffer->write(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                  static_cast<std::uint32_t>(bytes.size()));
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    wire::Command record;
+    record.read(&protocol);
+    BOOST_TEST(static_cast<bool>(record.__isset.advanceTime));
+    BOOST_TEST(record.advanceTime.now == 0);
+  }
+}
+
 // Guards against durations that overflow sums of time.
 BOOST_AUTO_TEST_CASE(refuses_values_out_of_range)
 {
--- a/tests/GroupTest.cpp
+++ b/tests/GroupTest.cpp
@@ -46,8 +46,11 @@
   std::atomic<std::size_t> refused_{ 0 };
   std::atomic<bool> halted_{ false };
   std::unique_ptr<control::Group> group_;
+  const core::Bytes snapshotBytes_;
 
-  explicit LoneVoter(std::uint64_t aSnapshotEvery = kNoSnapshot)
+  explicit LoneVoter(std::uint64_t aSnapshotEvery = kNoSnapshot,
+                     core::Bytes aSnapshotBytes = core::Bytes(core::kGibi))
+    : snapshotBytes_(aSnapshotBytes)
   {
     Start(true, aSnapshotEvery);
   }
@@ -77,6 +80,7 @@
     settings.raft_.group_ = 1;
     settings.raft_.self_ = core::MemberId(1);
     settings.snapshotEvery_ = aSnapshotEvery;
+    settings.snapshotBytes_ = snapshotBytes_;
     control::GroupHooks hooks;
     hooks.send_ = [this](const coordination::RaftMessage& aMessage) {
       heartbeats_ += aMessage.kind_ == coordination::RaftMessageKind::Append;
@@ -230,6 +234,25 @@
   }
 }
 
+// Guards against a snapshot of megabytes for every few small entries, and
+// against large entries that fill the disk before there are many.
+BOOST_AUTO_TEST_CASE(writes_it_after_so_many_bytes)
+{
+  LoneVoter member(kNoSnapshot, core::Bytes(64 * core::kKibi));
+  const auto newest = [&] {
+    return member.group_->NewestSnapshot().Value().value_or(core::LogIndex());
+  };
+  for (int i = 0; i < 100; ++i) {
+    BOOST_TEST(member.Drain(std::to_string(i)).Ok());
+  }
+  BOOST_TEST((newest() == core::LogIndex()));
+  const std::string table(70 * core::kKibi, 'x');
+  BOOST_TEST(
+    member.group_->ProposeAndWait(state::PublishRoutes{ 1, table }, kLongest)
+      .Ok());
+  BOOST_TEST(Eventually([&] { return newest() > core::LogIndex(100); }));
+}
+
 // Guards against a snapshot without its last bytes that counts as saved, and a
 // member that ends, when the disk becomes full while it is written.
 BOOST_AUTO_TEST_CASE(keeps_the_log_when_the_disk_becomes_full)
--- a/tests/StateExplorerTest.cpp
+++ b/tests/StateExplorerTest.cpp
@@ -4,6 +4,7 @@
 #include "tests/support/ClaimModel.hpp"
 #include "tests/support/Explorer.hpp"
 #include "tests/support/OrderModel.hpp"
+#include "tests/support/ServerOrdersModel.hpp"
 #include "tests/support/SettingsModel.hpp"
 
 using namespace crocusslip;
@@ -105,4 +106,27 @@
              "");
 }
 
+// Guards against a leader that doesn't know of orders that earlier leaders
+// sent.
+BOOST_AUTO_TEST_CASE(tells_each_leader_of_all_open_orders_to_servers)
+{
+  BOOST_TEST(FirstFault([] { return std::make_unique<ServerOrdersModel>(); },
+                        kSeeds) == "");
+}
+
+// Guards against a schedule too tame to notice a leader that decides before it
+// has applied what earlier leaders recorded.
+BOOST_AUTO_TEST_CASE(tells_some_leader_too_late_without_its_own_commit)
+{
+  std::string fault;
+  for (std::uint64_t seed = 1; seed <= kSearchSeeds && fault.empty(); ++seed) {
+    ExplorerOptions options;
+    options.seed_ = seed;
+    options.rules_.readAfterOwnCommit_ = false;
+    options.makeModel_ = [] { return std::make_unique<ServerOrdersModel>(); };
+    fault = Explore(options).violation_.value_or("");
+  }
+  BOOST_TEST(fault.find("doesn't know of it") != std::string::npos, fault);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/explore_main.cpp
+++ b/tests/explore_main.cpp
@@ -2,6 +2,7 @@
 #include "tests/support/Explorer.hpp"
 #include "tests/support/OrderModel.hpp"
 #include "tests/support/RegisterModel.hpp"
+#include "tests/support/ServerOrdersModel.hpp"
 #include "tests/support/SettingsModel.hpp"
 
 #include <cstdint>
@@ -72,6 +73,9 @@
                                           coordination::OrderRules());
     };
   }
+  if (aName == "server-orders") {
+    return [] { return std::make_unique<ServerOrdersModel>(); };
+  }
   return {};
 }
 
@@ -99,7 +103,7 @@
       "initial number of voters");
   add("model",
       options::value(&modelName)->default_value("register"),
-      "register, claims, settings or orders");
+      "register, claims, settings, orders or server-orders");
   add("without",
       options::value(&without),
       "safety rule to disable, for example pre-vote");
--- a/tests/support/RandomCommand.cpp
+++ b/tests/support/RandomCommand.cpp
@@ -41,6 +41,15 @@
   return key;
 }
 
+EndOrders
+RandomEnd(core::Random& aRandom)
+{
+  return { std::chrono::milliseconds(aRandom.Below(100000)),
+           std::chrono::milliseconds(aRandom.Below(5000)),
+           aRandom.Chance(0.5),
+           { aRandom.Below(60), aRandom.Below(60) } };
+}
+
 } // namespace
 
 Command
@@ -102,6 +111,14 @@
       return ReleaseQuarantine{ fingerprint, person };
     case 12:
       return PublishRoutes{ aRandom.Below(20), fingerprint };
+    case 13: {
+      RecordOrders record{ RandomEnd(aRandom), {} };
+      record.orders_.push_back(
+        { server, time.count(), third, flag, deployment.Value() });
+      return record;
+    }
+    case 14:
+      return RandomEnd(aRandom);
     default:
       return AdvanceTime{ AgreedTime(time * 10) };
   }
