Send orders once the group has recorded them, without 15 s of silence

Where servers don't check fencing numbers, the orders of a round go into one entry and leave after its commit, if this process still leads. A new leader reads the table: only memory that named loads may still take stays free, only on their servers, for 15 s; a server that had an order within the holders' lease gets none until that is over, all others at once after the list and their own report. A refused or unknown commit sends nothing. Store loads begin at the store's rate without burst for 3.2 s, so that two leaders keep it. With fencing nothing changes; a state without a complete table is treated as before.

LateOrdersTest is unchanged and passes (8 cases): its rule that the next leader overfills nobody now holds by the recorded orders instead of by withholding. AgreedOrdersTest 10 of 10. With the restoring taken out, 5 of its cases and LateOrdersTest/DoesNotOverfillAServerUnderTheNextLeader fail. FleetOrdersTest, ModelPlacementTest, SilentConnectionsTest pass.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -19,8 +19,6 @@
 constexpr const char* kOrdersHelp = "Orders to backend servers by outcome.";
 constexpr std::chrono::milliseconds kDecideInterval{ 40 };
 constexpr std::chrono::milliseconds kIdleInterval{ 100 };
-/// Beyond the lease of the holder before, for the clocks' differences.
-constexpr std::chrono::milliseconds kLeaseMargin{ 200 };
 /// Largest difference between the time of day here and at a server.
 constexpr std::chrono::seconds kClockTolerance{ 5 };
 /// Interval of the log line about the busiest models.
@@ -131,6 +129,7 @@
   limits_.clear();
   engines_.clear();
   urgentSent_.clear();
+  RestoreOrders(clock_.Now());
   core::Log(core::LogLevel::Info,
             "leads the fleet",
             { { "term", std::to_string(aTerm.Value()) } });
@@ -252,7 +251,7 @@
   }
 }
 
-std::vector<PlacementOrder>
+std::vector<FleetController::PlannedOrder>
 FleetController::Decide()
 {
   const core::MonotonicTime now = clock_.Now();
@@ -275,9 +274,12 @@
                 { "hosts", std::to_string(table_.HostCount()) } });
   }
   ReserveForLateOrders(now);
-  std::vector<PlacementOrder> orders;
+  std::vector<PlannedOrder> orders;
   if (listed_ && !fenced_ && now >= ordersFrom_) {
-    orders = placement_.Decide(now);
+    for (PlacementOrder& order : placement_.Decide(now)) {
+      auto run = KnownRun(order.server_);
+      orders.push_back({ std::move(order), run });
+    }
   }
   const std::uint64_t before = table_.UrgentVersion();
   ShowModels();
@@ -292,23 +294,20 @@
 {
   transport::asio::steady_timer timer(loop_);
   while (true) {
-    const bool leads = group_.MayDecide();
-    if (leads) {
-      const core::Term term = group_.Term();
-      std::vector<PlacementOrder> orders;
+    const std::optional<core::Term> term = group_.DecidingTerm();
+    if (term) {
+      std::vector<PlannedOrder> orders;
       {
         const std::lock_guard lock(mutex_);
-        if (term != term_) {
-          BeginTerm(term);
+        if (*term != term_) {
+          BeginTerm(*term);
         }
         orders = Decide();
       }
-      for (const PlacementOrder& order : orders) {
-        transport::Spawn(loop_,
-                         [this, order, term] { return RunOrder(order, term); });
-      }
+      Dispatch(std::move(orders), *term);
+      TellEnded(*term);
     }
-    co_await transport::Sleep(timer, leads ? kDecideInterval : kIdleInterval);
+    co_await transport::Sleep(timer, term ? kDecideInterval : kIdleInterval);
   }
 }
 
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -11,6 +11,7 @@
 #include "coordination/UnansweredOrders.hpp"
 #include "core/Clock.hpp"
 #include "core/Metrics.hpp"
+#include "placement/RecordedOrders.hpp"
 #include "protocol/ServerTableWire.hpp"
 
 #include "fleet_types.h"
@@ -76,6 +77,15 @@
     bool operator==(const EngineRun&) const = default;
   };
 
+  struct PlannedOrder
+  {
+    coordination::PlacementOrder order_;
+    /// What the order was planned on; nothing when it is no longer known.
+    std::optional<EngineRun> run_;
+    /// In the replicated state; 0 where orders aren't recorded.
+    std::uint64_t number_ = 0;
+  };
+
   struct Engine
   {
     /// Sequence of the content that placement_ has of the engine.
@@ -97,21 +107,37 @@
 
   transport::Task<void> ListLoop();
   transport::Task<void> DecideLoop();
-  transport::Task<void> RunOrder(coordination::PlacementOrder aOrder,
-                                 core::Term aTerm);
-  transport::Task<bool> CarryOut(coordination::PlacementOrder aOrder,
-                                 core::Term aTerm);
+  transport::Task<void> RunOrder(PlannedOrder aPlanned, core::Term aTerm);
+  transport::Task<bool> CarryOut(PlannedOrder aPlanned, core::Term aTerm);
   /// aSequence: that the order was sent with.
   transport::Task<bool> AwaitEffect(coordination::PlacementOrder aOrder,
                                     std::int64_t aSequence,
                                     core::Term aTerm);
   transport::Task<void> Refresh(core::ServerId aServer, core::Term aTerm);
   std::optional<EngineRun> RunOf(const core::ServerId& aServer) const;
+  /// RunOf, called with the lock.
+  std::optional<EngineRun> KnownRun(const core::ServerId& aServer) const;
   /// Sends an order once, and remembers it if it gets no answer.
   transport::Task<OrderReply> Send(std::string aAddress,
-                                   coordination::PlacementOrder aOrder,
-                                   std::int64_t aSequence,
+                                   PlannedOrder aPlanned,
                                    core::Term aTerm);
+  /// Reads what earlier leaders have ordered, at the begin of a term.
+  void RestoreOrders(core::MonotonicTime aNow);
+  /// Time on this leader's clock, in the replicated state.
+  std::chrono::milliseconds OrderClock() const;
+  /// What the replicated state is to be told of ended orders.
+  state::EndOrders TakeEnded();
+  void TellEnded(core::Term aTerm);
+  void OnEndLost(const state::EndOrders& aEnd, core::Term aTerm);
+  /// Sends orders; where servers don't check fencing numbers, only once the
+  /// group has recorded them. Called without the lock.
+  void Dispatch(std::vector<PlannedOrder> aOrders, core::Term aTerm);
+  void Agree(std::vector<PlannedOrder> aOrders, core::Term aTerm);
+  /// aNumbers: of the recorded orders; empty if that failed or is not known.
+  void OnAgreed(std::vector<PlannedOrder> aOrders,
+                const state::EndOrders& aEnd,
+                core::Term aTerm,
+                std::vector<std::uint64_t> aNumbers);
   /// Keeps memory free for orders that may still be carried out, and orders
   /// from servers that those of another leader may reach.
   void ReserveForLateOrders(core::MonotonicTime aNow);
@@ -125,7 +151,7 @@
   bool Leads(core::Term aTerm) const;
   void BeginTerm(core::Term aTerm);
   void TakeRoutes();
-  std::vector<coordination::PlacementOrder> Decide();
+  std::vector<PlannedOrder> Decide();
   /// Whether the list has not been read in this term, or not since the first
   /// configuration.
   bool AwaitsFirstList() const;
@@ -164,6 +190,9 @@
   /// Ends the wait of the calls for which there is news.
   void NotifyHosts();
 
+  /// Beyond the lease of the holder before, for the clocks' differences.
+  static constexpr std::chrono::milliseconds kLeaseMargin{ 200 };
+
   transport::asio::io_context& loop_;
   GroupHost& group_;
   BackendPort& port_;
@@ -205,6 +234,11 @@
   coordination::ModelPlacement placement_;
   /// Kept over terms.
   coordination::UnansweredOrders unanswered_;
+  /// Used where servers don't check fencing numbers.
+  placement::RecordedOrders recorded_;
+  /// Whether the replicated state knows that it has all orders.
+  bool completeTold_ = false;
+  core::MonotonicTime endsToldAt_;
   /// Requests after which servers broke the connections of several hosts.
   coordination::CrashGuard guard_{ coordination::CrashGuardSettings{} };
   coordination::PromptGuard promptGuard_{ coordination::PromptGuardSettings{} };
--- a/control/FleetControllerOrders.cpp
+++ b/control/FleetControllerOrders.cpp
@@ -88,6 +88,12 @@
 FleetController::RunOf(const core::ServerId& aServer) const
 {
   const std::lock_guard lock(mutex_);
+  return KnownRun(aServer);
+}
+
+std::optional<FleetController::EngineRun>
+FleetController::KnownRun(const core::ServerId& aServer) const
+{
   const auto found = engines_.find(aServer);
   if (found == engines_.end() || !found->second.sequence_) {
     return std::nullopt;
@@ -107,7 +113,7 @@
     }
   }
   placement_.SetPossibleLoads(std::move(loads));
-  std::set<core::ServerId> withheld;
+  std::set<core::ServerId> withheld = recorded_.Withheld(aNow);
   if (earlierOrders_ && aNow >= earlierOrders_->until_) {
     earlierOrders_.reset();
   }
@@ -125,21 +131,29 @@
 
 Task<OrderReply>
 FleetController::Send(std::string aAddress,
-                      PlacementOrder aOrder,
-                      std::int64_t aSequence,
+                      PlannedOrder aPlanned,
                       core::Term aTerm)
 {
+  const PlacementOrder& order = aPlanned.order_;
+  const std::int64_t sequence = aPlanned.run_->sequence_;
   std::uint64_t number = 0;
   {
     const std::lock_guard lock(mutex_);
-    number = unanswered_.OnSent(aOrder, aSequence, clock_.Now());
+    const core::MonotonicTime now = clock_.Now();
+    number = unanswered_.OnSent(order, sequence, now);
+    if (term_ == aTerm) {
+      recorded_.OnSent(aPlanned.number_, now);
+    }
   }
   const OrderSender sender{ settings_.holder_, aTerm.Value() };
   const OrderReply reply =
-    co_await port_.SendOrder(aAddress, aOrder, aSequence, sender);
+    co_await port_.SendOrder(aAddress, order, sequence, sender);
   if (reply != OrderReply::Unknown) {
     const std::lock_guard lock(mutex_);
-    unanswered_.OnAnswered(aOrder.server_, number);
+    unanswered_.OnAnswered(order.server_, number);
+    if (term_ == aTerm) {
+      recorded_.OnAnswered(aPlanned.number_);
+    }
   }
   co_return reply;
 }
@@ -178,71 +192,74 @@
 }
 
 Task<void>
-FleetController::RunOrder(PlacementOrder aOrder, core::Term aTerm)
+FleetController::RunOrder(PlannedOrder aPlanned, core::Term aTerm)
 {
+  const PlacementOrder& order = aPlanned.order_;
   const core::MonotonicTime begin = clock_.Now();
-  const bool done = co_await CarryOut(aOrder, aTerm);
+  const bool done = co_await CarryOut(aPlanned, aTerm);
   const core::MonotonicTime now = clock_.Now();
   (done ? ordersDone_ : ordersGivenUp_).Add();
   core::Log(
     core::LogLevel::Info,
     done ? "order carried out" : "order given up",
-    { { "server", aOrder.server_.Value() },
-      { "verb", aOrder.verb_ == PlacementVerb::Load ? "load" : "unload" },
-      { "model", aOrder.model_.Value() },
-      { "adapter", aOrder.adapter_ },
-      { "from", NameOf(aOrder.tier_) },
+    { { "server", order.server_.Value() },
+      { "verb", order.verb_ == PlacementVerb::Load ? "load" : "unload" },
+      { "model", order.model_.Value() },
+      { "adapter", order.adapter_ },
+      { "from", NameOf(order.tier_) },
       { "took_ms", std::to_string(core::Milliseconds(now - begin)) } });
   {
     const std::lock_guard lock(mutex_);
     if (term_ != aTerm) {
       co_return;
     }
-    placement_.OnOrderDone(aOrder, done, now);
+    recorded_.OnFinished(aPlanned.number_);
+    placement_.OnOrderDone(order, done, now);
     ShowModels();
     NotifyHosts();
   }
   if (!done && Leads(aTerm)) {
-    co_await Refresh(aOrder.server_, aTerm);
+    co_await Refresh(order.server_, aTerm);
   }
 }
 
 Task<bool>
-FleetController::CarryOut(PlacementOrder aOrder, core::Term aTerm)
+FleetController::CarryOut(PlannedOrder aPlanned, core::Term aTerm)
 {
+  const PlacementOrder& order = aPlanned.order_;
   transport::asio::steady_timer timer(loop_);
   int unanswered = 0;
   int conflicts = 0;
   // All sends have the sequence of the content on which the order was planned.
-  const std::optional<EngineRun> run = RunOf(aOrder.server_);
+  const std::optional<EngineRun> run = aPlanned.run_;
   if (!run) {
     co_return false;
   }
   const std::int64_t sequence = run->sequence_;
   for (int tries = 0; tries < kOrderTries; ++tries) {
-    const std::string address = AddressOf(aOrder.server_);
+    const std::string address = AddressOf(order.server_);
     // After a restart the same sequence stands for other content.
-    if (address.empty() || !Leads(aTerm) || RunOf(aOrder.server_) != run) {
+    if (address.empty() || !Leads(aTerm) || RunOf(order.server_) != run) {
       co_return false;
     }
-    const OrderReply reply = co_await Send(address, aOrder, sequence, aTerm);
+    const OrderReply reply = co_await Send(address, aPlanned, aTerm);
     if (reply != OrderReply::Accepted && reply != OrderReply::Holds) {
       core::Log(core::LogLevel::Info,
                 "order not accepted",
-                { { "server", aOrder.server_.Value() },
-                  { "model", aOrder.model_.Value() },
+                { { "server", order.server_.Value() },
+                  { "model", order.model_.Value() },
                   { "answer", NameOf(reply) },
                   { "sequence", std::to_string(sequence) } });
     }
     switch (reply) {
       case OrderReply::Accepted:
-        RecordAccepted(aOrder.server_, sequence, aTerm);
-        co_return co_await AwaitEffect(aOrder, sequence, aTerm);
+        RecordAccepted(order.server_, sequence, aTerm);
+        co_return co_await AwaitEffect(order, sequence, aTerm);
       case OrderReply::Holds: {
         // An adapter that no request uses is unloaded with this answer, which
         // counts in the sequence.
-        if (aOrder.verb_ == PlacementVerb::Unload) {
-          RecordAccepted(aOrder.server_, sequence, aTerm);
+        if (order.verb_ == PlacementVerb::Unload) {
+          RecordAccepted(order.server_, sequence, aTerm);
         }
         co_return true;
       }
@@ -267,7 +284,7 @@
         if (++conflicts % kConflictsToRead != 0) {
           break;
         }
-        const auto report = co_await Report(aOrder.server_);
+        const auto report = co_await Report(order.server_);
         if (!report || report->sequence_ != sequence ||
             report->startedAt_ != run->startedAt_) {
           // Somebody else's order: what the server holds is not what this one
--- a/control/GroupHost.cpp
+++ b/control/GroupHost.cpp
@@ -147,6 +147,13 @@
   return group && group->MayDecide();
 }
 
+std::optional<core::Term>
+GroupHost::DecidingTerm() const
+{
+  const auto group = Current();
+  return group ? group->DecidingTerm() : std::nullopt;
+}
+
 core::Term
 GroupHost::Term() const
 {
--- a/control/GroupHost.hpp
+++ b/control/GroupHost.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -57,6 +58,8 @@
   std::shared_ptr<Group> Current() const;
   /// Whether this process leads and may act.
   bool MayDecide() const;
+  /// The term in which it may, if it may.
+  std::optional<core::Term> DecidingTerm() const;
   /// Address of the leader if another process leads; empty when not known.
   std::string LeaderAddress() const;
   std::vector<std::string> MemberAddresses() const;
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -165,6 +165,16 @@
   withheld_ = std::move(aServers);
 }
 
+void
+ModelPlacement::OnLeaderChange(core::MonotonicTime aNow,
+                               core::MonotonicTime aBurstFrom)
+{
+  storeTokens_ = 0;
+  storeTokensAt_ = aNow;
+  storeBurstFrom_ = aBurstFrom;
+  storeTokensTaken_ = 0;
+}
+
 void
 ModelPlacement::OnDemand(const std::map<core::ModelName, ModelDemand>& aDemand,
                          core::MonotonicTime aNow)
@@ -358,10 +368,15 @@
   storeTokensAt_ = aNow;
   storeTokens_ =
     std::min(kStoreBurst, storeTokens_ + elapsed * rate * kStoreRateShare);
+  if (storeBurstFrom_ && aNow >= *storeBurstFrom_) {
+    storeTokens_ = std::max(storeTokens_, kStoreBurst - storeTokensTaken_);
+    storeBurstFrom_.reset();
+  }
   if (storeTokens_ < 1) {
     return false;
   }
   storeTokens_ -= 1;
+  storeTokensTaken_ += 1;
   return true;
 }
 
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -119,6 +119,9 @@
   /// Replaces the servers that get no orders, because loads that nobody here
   /// knows of may reach them.
   void SetWithheld(std::set<core::ServerId> aServers);
+  /// Another leader may have used the store's rate until now: its loads begin
+  /// one by one at that rate, and at the burst only from aBurstFrom on.
+  void OnLeaderChange(core::MonotonicTime aNow, core::MonotonicTime aBurstFrom);
   /// Replaces the demand for all models.
   void OnDemand(const std::map<core::ModelName, ModelDemand>& aDemand,
                 core::MonotonicTime aNow);
@@ -290,6 +293,10 @@
   /// Store loads that may start now.
   double storeTokens_ = 0;
   core::MonotonicTime storeTokensAt_;
+  /// After a change of leader: from when on the burst is allowed, and how many
+  /// tokens have been taken of it before.
+  std::optional<core::MonotonicTime> storeBurstFrom_;
+  double storeTokensTaken_ = 0;
 };
 
 } // namespace crocusslip::coordination
--- a/coordination/UnansweredOrders.cpp
+++ b/coordination/UnansweredOrders.cpp
@@ -20,6 +20,15 @@
   return number;
 }
 
+void
+UnansweredOrders::Restore(const core::ServerId& aServer,
+                          std::int64_t aSequence,
+                          const core::ModelName& aLoad,
+                          core::MonotonicTime aNow)
+{
+  sends_[aServer].push_back({ ++lastSend_, aSequence, aLoad, aNow });
+}
+
 void
 UnansweredOrders::OnAnswered(const core::ServerId& aServer, std::uint64_t aSend)
 {
--- a/coordination/UnansweredOrders.hpp
+++ b/coordination/UnansweredOrders.hpp
@@ -28,6 +28,11 @@
   std::uint64_t OnSent(const PlacementOrder& aOrder,
                        std::int64_t aSequence,
                        core::MonotonicTime aNow);
+  /// An order of an earlier leader, which was not answered as far as is known.
+  void Restore(const core::ServerId& aServer,
+               std::int64_t aSequence,
+               const core::ModelName& aLoad,
+               core::MonotonicTime aNow);
   /// The send got an answer, so that it can't be carried out later.
   void OnAnswered(const core::ServerId& aServer, std::uint64_t aSend);
   void Expire(core::MonotonicTime aNow);
--- a/tests/support/GroupFixture.hpp
+++ b/tests/support/GroupFixture.hpp
@@ -59,7 +59,8 @@
          bool aBootstrap,
          control::BackendPort& aBackends,
          const ServiceLimits& aLimits,
-         const control::FleetControllerSettings& aFleet = {})
+         const control::FleetControllerSettings& aFleet = {},
+         const control::GroupSettings& aGroup = {})
   {
     control::GroupHostSettings settings;
     settings.cluster_ = "test";
@@ -67,6 +68,7 @@
     settings.dataFolder_ = aFolder;
     settings.seeds_ = aSeeds;
     settings.bootstrap_ = aBootstrap;
+    settings.group_ = aGroup;
     control::GroupHooks hooks;
     hooks.applied_ = [](core::LogIndex,
                         core::Term,
@@ -148,7 +150,8 @@
                                                 aBootstrap,
                                                 *backends_,
                                                 limits_,
-                                                fleet_);
+                                                fleet_,
+                                                group_);
   }
 
   static bool Await(const std::function<bool()>& aHolds)
@@ -206,6 +209,7 @@
   NoServers noServers_;
   control::BackendPort* backends_ = &noServers_;
   control::FleetControllerSettings fleet_;
+  control::GroupSettings group_;
   /// Read by the members with each version of the routes.
   ServiceLimits limits_;
   std::vector<std::uint16_t> ports_;
