Choose servers that name their pace by an estimate with its doubt

Cause: hosts choose by load that is half a second old and take the least loaded server with a jitter of 10%, so that hosts which know the same meet at one server. An engine of 12 slots is used to 4 or 5 of them, whatever its pace, so that requests wait while places are free.

Change: routing::ServerEstimate keeps for each server what it said itself and what the control group published, with the ages, and gives an expected load with its deviation. routing::ChooseServer assigns the requests that others are expected to send meanwhile and draws by the resulting shares. Usable slots follow from the pause that callers bear. It all takes effect only once all servers that can take a request have named a pace; no process passes such figures on yet.

EvenLoadTest (16 cases), BackendViewTest and FleetTableTest pass.

--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -81,6 +81,7 @@
   if (!aRow.loadOnly_) {
     Server& server = servers_[aRow.server_];
     server.row_ = std::move(aRow);
+    server.estimate_.OnPublishedPace(server.row_.pacePercent_);
     if (server.row_.state_ != BackendState::Ready) {
       server.saidLeaving_ = false;
     }
@@ -105,6 +106,9 @@
   row.slowness_ = aRow.slowness_;
   row.tokenTime_ = aRow.tokenTime_;
   row.suspect_ = aRow.suspect_;
+  row.pacePercent_ = aRow.pacePercent_;
+  row.queued_ = aRow.queued_;
+  found->second.estimate_.OnPublishedPace(aRow.pacePercent_);
 }
 
 void
@@ -148,9 +152,14 @@
 
 bool
 BackendView::HasCapacity(const Server& aServer,
-                         const BackendRequirements& aRequirements) const
+                         const BackendRequirements& aRequirements,
+                         core::MonotonicTime aNow) const
 {
   const BackendRow& row = aServer.row_;
+  const bool byPace = row.memoryTokens_ > 0 && aServer.estimate_.NamesPace();
+  if (byPace && !HasPlace(aServer, aRequirements, aNow)) {
+    return false;
+  }
   const double usableSlots =
     row.memoryTokens_ > 0
       ? std::max(
@@ -158,7 +167,7 @@
           (aRequirements.overdue_ ? kOverdueMaxSlotShare : kMaxSlotShare) *
             row.slots_)
       : row.slots_;
-  if (row.slots_ > 0 &&
+  if (!byPace && row.slots_ > 0 &&
       row.othersInFlight_ + aServer.usage_.inFlight_ >= usableSlots) {
     return false;
   }
@@ -192,13 +201,17 @@
     // The constant term keeps latency in the score of an idle server.
     score = latency * (0.2 + inFlight / slots);
   }
-  if (row.failureDomain_ != ownDomain_) {
-    score *= kOtherDomainPenalty;
-  }
-  if (row.suspect_ || aServer.failuresInRow_ > 0) {
-    score *= kSuspectPenalty;
-  }
-  return score;
+  return score * PenaltyOf(aServer);
+}
+
+double
+BackendView::PenaltyOf(const Server& aServer) const
+{
+  const BackendRow& row = aServer.row_;
+  const double domain =
+    row.failureDomain_ != ownDomain_ ? kOtherDomainPenalty : 1;
+  const bool doubtful = row.suspect_ || aServer.failuresInRow_ > 0;
+  return domain * (doubtful ? kSuspectPenalty : 1);
 }
 
 std::optional<double>
@@ -306,6 +319,7 @@
 {
   hosts_ = std::max(1U, aHosts);
   controlContact_ = aNow;
+  UpdateUsualLoads();
 }
 
 BackendChoice
@@ -319,6 +333,8 @@
   double bestGrantKey = 0;
   double needsGrantScore = 0;
   const Server* lastResort = nullptr;
+  std::vector<Option> options;
+  bool allNamePace = true;
   for (const auto& [id, server] : servers_) {
     const BackendRow& row = server.row_;
     if (row.service_ != aRequirements.service_ ||
@@ -348,7 +364,7 @@
       }
       continue;
     }
-    if (!HasCapacity(server, aRequirements)) {
+    if (!HasCapacity(server, aRequirements, aNow)) {
       choice.status_ = BackendChoiceStatus::Full;
       continue;
     }
@@ -366,11 +382,19 @@
       }
       continue;
     }
+    options.push_back({ &server, score });
+    allNamePace = allNamePace && server.estimate_.NamesPace();
     if (best == nullptr || score < bestScore) {
       best = &server;
       bestScore = score;
     }
   }
+  if (allNamePace && !options.empty()) {
+    const Option& chosen =
+      ChooseByEstimate(options, aRequirements, aNow, aRandom, choice);
+    best = chosen.server_;
+    bestScore = chosen.score_;
+  }
   // If all servers that could run the request are ejected, use the one whose
   // ejection ends first: a common cause must not stop the whole service.
   if (best == nullptr && choice.status_ != BackendChoiceStatus::Full &&
@@ -498,7 +522,7 @@
     const bool idle = use.inFlight_ == 0 && use.failures_ == 0 &&
                       use.successes_ == 0 && use.unreachable_ == 0 &&
                       use.prompts_.runs_ == 0 && use.missing_.empty() &&
-                      !use.sighting_;
+                      !use.sighting_ && !use.load_;
     if (!idle) {
       uses[id] = use;
     }
@@ -507,6 +531,7 @@
     use.unreachable_ = 0;
     use.prompts_ = {};
     use.missing_.clear();
+    use.load_.reset();
   }
   return uses;
 }
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -5,6 +5,8 @@
 #include "core/Clock.hpp"
 #include "core/Ids.hpp"
 #include "core/Random.hpp"
+#include "routing/ServerChoice.hpp"
+#include "routing/ServerEstimate.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -50,6 +52,11 @@
   bool suspect_ = false;
   /// Requests per second that it takes from all hosts together, if limited.
   std::optional<double> rateLimit_;
+  /// Mean time that work takes there against the usual time (100); 0 when the
+  /// server names no pace.
+  std::uint32_t pacePercent_ = 0;
+  /// Requests that wait there, as it said last.
+  std::uint32_t queued_ = 0;
   /// Only the server's id and its figures of load, speed and suspicion are set;
   /// the rest is as in the row before.
   bool loadOnly_ = false;
@@ -121,6 +128,11 @@
   /// A server that suits better than the chosen one, but needs a grant first;
   /// empty if there is none.
   core::ServerId needsGrant_;
+  /// What the choice was made from; only set for servers that name their pace.
+  std::optional<routing::LoadEstimate> estimate_;
+  /// Runs of which callers bear the pauses there, and servers chosen from.
+  double usableSlots_ = 0;
+  std::uint32_t candidates_ = 0;
 };
 
 /// One host's view of the backend servers: the state published by the control
@@ -164,6 +176,13 @@
   /// whether that changes the limit.
   bool OnRateSighting(const core::ServerId& aServer,
                       const RateSighting& aSighting);
+  /// Takes over what an answer of the server said about its load.
+  void OnLoadSighting(const core::ServerId& aServer,
+                      const routing::LoadSighting& aSighting);
+  /// Expected load of a server that names its pace.
+  std::optional<routing::LoadEstimate> EstimateOf(
+    const core::ServerId& aServer,
+    core::MonotonicTime aNow) const;
   /// The server said in an answer that it leaves. It gets no requests until it
   /// is published as ready after it was published as leaving.
   void OnLeaving(const core::ServerId& aServer);
@@ -195,6 +214,8 @@
     std::vector<core::ModelName> missing_;
     /// The last sighting, while it concerns a limit.
     std::optional<RateSighting> sighting_;
+    /// The newest sighting of the load since the last TakeUsage.
+    std::optional<routing::LoadSighting> load_;
   };
   /// Returns the usage of servers that have any; resets outcomes, prompt times
   /// and missing models.
@@ -223,6 +244,14 @@
     core::MonotonicTime grantsUntil_;
     /// Start of the last request without a grant.
     core::MonotonicTime startedWithoutGrant_;
+    routing::ServerEstimate estimate_;
+  };
+  /// A server that could take the request now.
+  struct Option
+  {
+    const Server* server_ = nullptr;
+    /// The score without an estimate.
+    double score_ = 0;
   };
 
   bool Ejected(const Server& aServer, core::MonotonicTime aNow) const;
@@ -231,8 +260,28 @@
   static bool WouldStallStreams(const Server& aServer,
                                 const BackendRequirements& aRequirements);
   bool HasCapacity(const Server& aServer,
-                   const BackendRequirements& aRequirements) const;
+                   const BackendRequirements& aRequirements,
+                   core::MonotonicTime aNow) const;
   double Score(const Server& aServer, core::MonotonicTime aNow) const;
+  /// Factor of the cost of a server that answers less surely or from afar.
+  double PenaltyOf(const Server& aServer) const;
+  routing::LoadEstimate Estimate(const Server& aServer,
+                                 core::MonotonicTime aNow) const;
+  routing::ServerCandidate MakeCandidate(
+    const Server& aServer,
+    const BackendRequirements& aRequirements,
+    core::MonotonicTime aNow) const;
+  /// Whether a server that names its pace has a place for the request.
+  bool HasPlace(const Server& aServer,
+                const BackendRequirements& aRequirements,
+                core::MonotonicTime aNow) const;
+  void UpdateUsualLoads();
+  /// The option to use; fills in what it was chosen from.
+  const Option& ChooseByEstimate(const std::vector<Option>& aOptions,
+                                 const BackendRequirements& aRequirements,
+                                 core::MonotonicTime aNow,
+                                 core::Random& aRandom,
+                                 BackendChoice& aChoice) const;
   static std::optional<double> RateLimitOf(const Server& aServer,
                                            core::MonotonicTime aNow);
   static bool HasGrant(const Server& aServer, core::MonotonicTime aNow);
@@ -244,6 +293,9 @@
   /// Number of hosts, and time of the last answer of the control group.
   std::uint32_t hosts_ = 1;
   core::MonotonicTime controlContact_;
+  /// Mean number of other hosts' requests at the servers of each service that
+  /// name their pace.
+  std::map<ServiceName, double> usualLoads_;
 };
 
 } // namespace crocusslip::coordination
--- /dev/null
+++ b/coordination/BackendViewEstimates.cpp
@@ -0,0 +1,140 @@
+#include "coordination/BackendView.hpp"
+
+#include <algorithm>
+
+/// The part of BackendView that concerns servers which name their pace.
+namespace crocusslip::coordination {
+
+namespace {
+
+/// Mean age of the hosts' reports in what the control group publishes, when it
+/// arrives.
+constexpr std::chrono::milliseconds kPublishedLag{ 300 };
+/// Prefill time per prompt token of a server whose time is not known.
+constexpr std::chrono::nanoseconds kUsualTokenTime{ 50'000 };
+constexpr double kMinSlowness = 0.25;
+
+} // namespace
+
+void
+BackendView::OnLoadSighting(const core::ServerId& aServer,
+                            const routing::LoadSighting& aSighting)
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end()) {
+    return;
+  }
+  Server& server = found->second;
+  server.estimate_.OnSighting(aSighting, server.usage_.inFlight_);
+  server.usage_.load_ = aSighting;
+}
+
+std::optional<routing::LoadEstimate>
+BackendView::EstimateOf(const core::ServerId& aServer,
+                        core::MonotonicTime aNow) const
+{
+  const auto found = servers_.find(aServer);
+  if (found == servers_.end() || !found->second.estimate_.NamesPace()) {
+    return std::nullopt;
+  }
+  return Estimate(found->second, aNow);
+}
+
+routing::LoadEstimate
+BackendView::Estimate(const Server& aServer, core::MonotonicTime aNow) const
+{
+  const double others = aServer.row_.othersInFlight_;
+  const auto usual = usualLoads_.find(aServer.row_.service_);
+  return aServer.estimate_.At(aNow,
+                              { others, controlContact_ - kPublishedLag },
+                              usual == usualLoads_.end() ? others
+                                                         : usual->second,
+                              aServer.usage_.inFlight_);
+}
+
+void
+BackendView::UpdateUsualLoads()
+{
+  struct Sum
+  {
+    double requests_ = 0;
+    double servers_ = 0;
+  };
+  std::map<ServiceName, Sum> sums;
+  for (const auto& [id, server] : servers_) {
+    if (server.estimate_.NamesPace() &&
+        server.row_.state_ == BackendState::Ready) {
+      Sum& sum = sums[server.row_.service_];
+      sum.requests_ += server.row_.othersInFlight_;
+      sum.servers_ += 1;
+    }
+  }
+  usualLoads_.clear();
+  for (const auto& [service, sum] : sums) {
+    usualLoads_[service] = sum.requests_ / sum.servers_;
+  }
+}
+
+routing::ServerCandidate
+BackendView::MakeCandidate(const Server& aServer,
+                           const BackendRequirements& aRequirements,
+                           core::MonotonicTime aNow) const
+{
+  const BackendRow& row = aServer.row_;
+  const double tokenTime = row.tokenTime_.count() > 0
+                             ? static_cast<double>(row.tokenTime_.count()) /
+                                 std::max(kMinSlowness, row.slowness_)
+                             : static_cast<double>(kUsualTokenTime.count());
+  const auto promptTime = [&](std::uint64_t aTokens) {
+    return core::Duration(
+      static_cast<std::int64_t>(tokenTime * static_cast<double>(aTokens)));
+  };
+  routing::ServerCandidate candidate;
+  candidate.load_ = Estimate(aServer, aNow);
+  candidate.usableSlots_ = routing::UsableSlots(
+    row.slots_,
+    candidate.load_.pace_,
+    aRequirements.overdue_ ? core::Duration(0) : aRequirements.longestPause_,
+    promptTime(aRequirements.promptTokens_));
+  candidate.promptTime_ =
+    promptTime(aRequirements.promptTokens_ + row.othersPrefillTokens_ +
+               aServer.usage_.prefillTokens_);
+  candidate.penalty_ = PenaltyOf(aServer);
+  return candidate;
+}
+
+bool
+BackendView::HasPlace(const Server& aServer,
+                      const BackendRequirements& aRequirements,
+                      core::MonotonicTime aNow) const
+{
+  if (aServer.row_.slots_ == 0) {
+    return true;
+  }
+  const routing::ServerCandidate candidate =
+    MakeCandidate(aServer, aRequirements, aNow);
+  // Half a request of an estimate is not one that is there.
+  return candidate.load_.inFlight_ + 0.5 < candidate.usableSlots_;
+}
+
+const BackendView::Option&
+BackendView::ChooseByEstimate(const std::vector<Option>& aOptions,
+                              const BackendRequirements& aRequirements,
+                              core::MonotonicTime aNow,
+                              core::Random& aRandom,
+                              BackendChoice& aChoice) const
+{
+  std::vector<routing::ServerCandidate> candidates;
+  candidates.reserve(aOptions.size());
+  for (const Option& option : aOptions) {
+    candidates.push_back(MakeCandidate(*option.server_, aRequirements, aNow));
+  }
+  const std::size_t index = routing::ChooseServer(
+    candidates, routing::ExpectedOthers(candidates), aRandom);
+  aChoice.estimate_ = candidates[index].load_;
+  aChoice.usableSlots_ = candidates[index].usableSlots_;
+  aChoice.candidates_ = static_cast<std::uint32_t>(candidates.size());
+  return aOptions[index];
+}
+
+} // namespace crocusslip::coordination
--- a/coordination/FleetTable.cpp
+++ b/coordination/FleetTable.cpp
@@ -15,6 +15,8 @@
 /// Smallest changes of load that are published to hosts: in requests, and
 /// relative to the published load. The larger one applies.
 constexpr std::uint32_t kMinRequestChange = 2;
+/// The same for a server that names its pace: its few places are chosen by.
+constexpr std::uint32_t kMinPacedRequestChange = 1;
 constexpr double kMinRelativeChange = 0.15;
 /// Prompt tokens after which older speed samples count half.
 constexpr double kSpeedHalfLifeTokens = 40'000;
@@ -370,7 +372,10 @@
   // published.
   const double tokenStep =
     std::max<double>(1, static_cast<double>(row.row_.memoryTokens_) / 50);
-  if (ChangedEnough(row.inFlight_, inFlight, kMinRequestChange) ||
+  if (ChangedEnough(row.inFlight_,
+                    inFlight,
+                    row.meanPace_ > 0 ? kMinPacedRequestChange
+                                      : kMinRequestChange) ||
       ChangedEnough(static_cast<double>(row.tokens_),
                     static_cast<double>(tokens),
                     tokenStep) ||
@@ -445,6 +450,8 @@
       result.slowness_ = row.row_.slowness_;
       result.tokenTime_ = row.row_.tokenTime_;
       result.suspect_ = row.row_.suspect_;
+      result.pacePercent_ = row.row_.pacePercent_;
+      result.queued_ = row.row_.queued_;
     }
     std::uint32_t inFlight = row.inFlight_;
     std::uint64_t tokens = row.tokens_;
--- a/coordination/FleetTable.hpp
+++ b/coordination/FleetTable.hpp
@@ -59,6 +59,10 @@
     std::uint32_t inFlight_ = 0;
     std::uint64_t tokens_ = 0;
     std::uint64_t prefillTokens_ = 0;
+    /// Mean pace in percent, 0 while the server has named none, and the time of
+    /// its newest sighting.
+    double meanPace_ = 0;
+    core::MonotonicTime loadSeenAt_;
   };
 
   /// Replaces the list. Servers that are no longer listed become Gone.
@@ -85,6 +89,12 @@
   void SetRateLimit(const core::ServerId& aServer,
                     std::optional<double> aPerSecond);
 
+  /// Takes over what an answer of the server said about its load. The newest
+  /// of all hosts counts; the pace is averaged over about a second, since it
+  /// changes faster than hosts are told of it.
+  void OnLoadSighting(const core::ServerId& aServer,
+                      const routing::LoadSighting& aSighting);
+
   /// Grows with each change of a row.
   std::uint64_t Version() const { return version_; }
   /// Grows only with changes that hosts must be sent at once: all except load,
