Read what servers say of their load and spread it to all hosts

Cause: answers carry RUNNING,WAITING,SLOTS[,PACE], but no process read them, so that the choice by estimate never took effect.

Change: protocol::ParseLoadHeader reads the header and ignores odd values; entry::LoadReader passes it to the view, counts sightings, unreadable ones and sends that were turned away, and shows the mean error of the estimate. Reports carry the newest sighting of each server in the existing fields of ServerUse; the leader keeps the newest of all hosts and publishes the mean pace in the existing fields of ServerRow and ServerLoad. No call is added. The lines of served and turned away requests say what the server was chosen by (chosen_by). Servers that name no pace cause no report and no new row, and plain services are chosen as before.

The fixture of the gateway tests did not compile since CallHeaders has had new fields (missing initializers are errors); it names them now.

--- a/control/FleetControllerHosts.cpp
+++ b/control/FleetControllerHosts.cpp
@@ -39,6 +39,8 @@
   load.speedPercent = static_cast<std::int32_t>(100 * aRow.slowness_);
   load.tokenNanos = static_cast<std::int32_t>(aRow.tokenTime_.count());
   load.unreadTokens = static_cast<std::int64_t>(aRow.othersPrefillTokens_);
+  load.pacePercent = static_cast<std::int32_t>(aRow.pacePercent_);
+  load.queued = static_cast<std::int32_t>(aRow.queued_);
   return load;
 }
 
@@ -67,6 +69,8 @@
   out.speedPercent = load.speedPercent;
   out.tokenNanos = load.tokenNanos;
   out.unreadTokens = load.unreadTokens;
+  out.pacePercent = load.pacePercent;
+  out.queued = load.queued;
   return out;
 }
 
@@ -139,6 +143,15 @@
       out.active_.insert(core::ModelName(model));
     }
     const core::ServerId server(use.server);
+    if (use.loadAgeMs >= 0) {
+      table_.OnLoadSighting(
+        server,
+        { static_cast<std::uint32_t>(std::max(0, use.running)),
+          static_cast<std::uint32_t>(std::max(0, use.queued)),
+          0,
+          static_cast<std::uint32_t>(std::max(0, use.pacePercent)),
+          aNow - std::chrono::milliseconds(use.loadAgeMs) });
+    }
     if (use.rateLimitAgeMs >= 0 && table_.Rows().contains(server)) {
       coordination::RateSighting sighting;
       sighting.at_ = aNow - std::chrono::milliseconds(use.rateLimitAgeMs);
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -156,7 +156,7 @@
                          core::MonotonicTime aNow) const
 {
   const BackendRow& row = aServer.row_;
-  const bool byPace = row.memoryTokens_ > 0 && aServer.estimate_.NamesPace();
+  const bool byPace = UsesEstimate(aServer);
   if (byPace && !HasPlace(aServer, aRequirements, aNow)) {
     return false;
   }
@@ -383,7 +383,7 @@
       continue;
     }
     options.push_back({ &server, score });
-    allNamePace = allNamePace && server.estimate_.NamesPace();
+    allNamePace = allNamePace && UsesEstimate(server);
     if (best == nullptr || score < bestScore) {
       best = &server;
       bestScore = score;
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -254,6 +254,8 @@
     double score_ = 0;
   };
 
+  /// Whether the server is an engine that names its pace.
+  static bool UsesEstimate(const Server& aServer);
   bool Ejected(const Server& aServer, core::MonotonicTime aNow) const;
   /// Whether the prefill of this prompt, added to those already in progress,
   /// would stall the streams on the server for longer than callers accept.
--- a/coordination/BackendViewEstimates.cpp
+++ b/coordination/BackendViewEstimates.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+// The times of a step and of a run are those of engines.
+bool
+BackendView::UsesEstimate(const Server& aServer)
+{
+  return aServer.row_.memoryTokens_ > 0 && aServer.estimate_.NamesPace();
+}
+
 void
 BackendView::OnLoadSighting(const core::ServerId& aServer,
                             const routing::LoadSighting& aSighting)
@@ -26,7 +33,9 @@
   }
   Server& server = found->second;
   server.estimate_.OnSighting(aSighting, server.usage_.inFlight_);
-  server.usage_.load_ = aSighting;
+  if (server.estimate_.NamesPace()) {
+    server.usage_.load_ = aSighting;
+  }
 }
 
 std::optional<routing::LoadEstimate>
@@ -34,7 +43,7 @@
                         core::MonotonicTime aNow) const
 {
   const auto found = servers_.find(aServer);
-  if (found == servers_.end() || !found->second.estimate_.NamesPace()) {
+  if (found == servers_.end() || !UsesEstimate(found->second)) {
     return std::nullopt;
   }
   return Estimate(found->second, aNow);
@@ -62,8 +71,7 @@
   };
   std::map<ServiceName, Sum> sums;
   for (const auto& [id, server] : servers_) {
-    if (server.estimate_.NamesPace() &&
-        server.row_.state_ == BackendState::Ready) {
+    if (UsesEstimate(server) && server.row_.state_ == BackendState::Ready) {
       Sum& sum = sums[server.row_.service_];
       sum.requests_ += server.row_.othersInFlight_;
       sum.servers_ += 1;
--- a/coordination/FleetTableLoads.cpp
+++ b/coordination/FleetTableLoads.cpp
@@ -27,6 +27,9 @@
   }
   Row& row = found->second;
   const double age = core::Seconds(aSighting.at_ - row.loadSeenAt_);
+  if (aSighting.pacePercent_ == 0 && row.meanPace_ <= 0) {
+    return;
+  }
   row.loadSeenAt_ = aSighting.at_;
   // Published with the next change: it alone is no reason to send the row.
   row.row_.queued_ = aSighting.queued_;
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -94,6 +94,7 @@
   , instance_(static_cast<std::int64_t>(random_.Next() >> 2U))
   , counters_(std::make_unique<Counters>(metrics_))
   , view_(settings_.failureDomain_)
+  , loadReader_(view_, settings_.headers_.load_, metrics_)
   , crashGuard_(MakeGuardSettings())
   , fleet_(
       aLoop,
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -11,6 +11,7 @@
 #include "core/Random.hpp"
 #include "entry/FleetLink.hpp"
 #include "entry/GatewaySettings.hpp"
+#include "entry/LoadReader.hpp"
 #include "entry/ServerPool.hpp"
 #include "transport/HttpLink.hpp"
 
@@ -152,6 +153,7 @@
 
   std::shared_ptr<const coordination::RouteTable> routes_;
   coordination::BackendView view_;
+  LoadReader loadReader_;
   std::map<coordination::ServiceName, coordination::SharedRetryBudget> budgets_;
   /// Number of entry hosts, which share the retry budget and the connection
   /// limits of the servers; 0: not known yet.
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -113,13 +113,15 @@
       gateway_.view_.OnModelMissing(choice_.server_, requirements_.model_);
     } else {
       requirements_.tried_.insert(choice_.server_);
+      gateway_.loadReader_.OnTurnedAway();
     }
     core::Log(core::LogLevel::Info,
               "server did not run the request",
               { { "request", id_ },
                 { "server", choice_.server_.Value() },
                 { "status", std::to_string(aHead.status_) },
-                { "model", requirements_.model_.Value() } });
+                { "model", requirements_.model_.Value() },
+                { "chosen_by", LoadReader::Describe(choice_) } });
     Finish(SendOutcome::Refused);
     co_return AttemptResult::RetryNotRun;
   }
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -665,6 +665,7 @@
       { "longest_pause_ms",
         std::to_string(core::Milliseconds(longestObservedPause_)) },
       { "load", std::to_string(loadAtAssignment_) },
+      { "chosen_by", LoadReader::Describe(choice_) },
       { "age_ms",
         std::to_string(
           core::Milliseconds(gateway_.clock_.Now() - arrivedAt_)) } });
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -67,6 +67,9 @@
   aRow.othersPrefillTokens_ = static_cast<std::uint64_t>(
     std::max<std::int64_t>(0, aFigures.unreadTokens));
   aRow.suspect_ = aFigures.suspect;
+  aRow.pacePercent_ =
+    static_cast<std::uint32_t>(std::max(0, aFigures.pacePercent));
+  aRow.queued_ = static_cast<std::uint32_t>(std::max(0, aFigures.queued));
 }
 
 /// Parses a decimal number from 0 to aMax; nullopt if the text is no such
@@ -120,6 +123,7 @@
       out.rateLimitAgeMs = static_cast<std::int32_t>(
         core::Milliseconds(clock_.Now() - use.sighting_->at_));
     }
+    LoadReader::Report(use, clock_.Now(), out);
     out.server = id.Value();
     out.inFlight = static_cast<std::int32_t>(use.inFlight_);
     out.tokens = static_cast<std::int64_t>(use.tokens_);
@@ -338,6 +342,7 @@
                       const transport::AnswerHead& aHead)
 {
   const protocol::CallHeaders& names = settings_.headers_;
+  loadReader_.OnAnswerHead(aServer, aHead, clock_.Now());
   if (!names.leaving_.empty() && !aHead.fields_[names.leaving_].empty()) {
     view_.OnLeaving(aServer);
   }
--- a/fuzz/Decoders.cpp
+++ b/fuzz/Decoders.cpp
@@ -17,6 +17,7 @@
   Decoder{ "engine_load", RunEngineLoad },
   Decoder{ "engine_list", RunEngineList },
   Decoder{ "host_list", RunHostList },
+  Decoder{ "load_header", RunLoadHeader },
   Decoder{ "cache_events", RunCacheEvents },
   Decoder{ "problem", RunProblem },
   Decoder{ "admin_body", RunAdminBody },
--- a/fuzz/Decoders.hpp
+++ b/fuzz/Decoders.hpp
@@ -60,6 +60,8 @@
 void
 RunHostList(std::string_view aInput);
 void
+RunLoadHeader(std::string_view aInput);
+void
 RunCacheEvents(std::string_view aInput);
 void
 RunProblem(std::string_view aInput);
--- a/fuzz/TextDecoders.cpp
+++ b/fuzz/TextDecoders.cpp
@@ -6,6 +6,7 @@
 #include "protocol/AdminMessages.hpp"
 #include "protocol/EngineDialect.hpp"
 #include "protocol/HostList.hpp"
+#include "protocol/LoadHeader.hpp"
 #include "protocol/OpenAiRequest.hpp"
 #include "protocol/Problem.hpp"
 #include "protocol/StreamTracker.hpp"
@@ -175,6 +176,13 @@
   protocol::ReadHostList(aInput);
 }
 
+void
+RunLoadHeader(std::string_view aInput)
+{
+  const auto load = protocol::ParseLoadHeader(aInput);
+  Require(!load || load->pacePercent_ <= 10'000, "a pace is bounded");
+}
+
 // Events have no encoding of their own yet; the input is read as sequence
 // number, kind and blocks, each a byte.
 void
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -64,6 +64,9 @@
     crashes_.insert(
       crashes_.end(), aRequest.crashes.begin(), aRequest.crashes.end());
     for (const wire::ServerUse& use : aRequest.uses) {
+      if (use.loadAgeMs >= 0) {
+        reportedLoads_.push_back(use);
+      }
       reportedRateLimit_ = std::max(reportedRateLimit_, use.rateLimitMilli);
       for (wire::ServerRow& row : reply_.rows) {
         if (row.server == use.server && use.rateLimitAgeMs >= 0) {
@@ -171,6 +174,12 @@
     const std::lock_guard lock(mutex_);
     grantsLeft_ = aCount;
   }
+  /// Reports of what servers said of their load.
+  std::vector<wire::ServerUse> ReportedLoads()
+  {
+    const std::lock_guard lock(mutex_);
+    return reportedLoads_;
+  }
   /// Highest rate limit reported, as requests in 1,000 s.
   std::int32_t ReportedRateLimit()
   {
@@ -192,6 +201,7 @@
   std::vector<std::int64_t> reportedHeldParts_;
   std::int32_t grantsLeft_ = 0;
   std::int32_t reportedRateLimit_ = 0;
+  std::vector<wire::ServerUse> reportedLoads_;
   int crashReportsToFail_ = 0;
   /// Differs from the epoch, which stays while a new leader reads the list.
   std::int64_t crashEpoch_ = 2;
@@ -256,10 +266,12 @@
       "127.0.0.1:" + std::to_string(tests::FreePort());
     settings_.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
     settings_.retries_ = { 0.2, 50, 10s };
-    settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
-                           "Stamp",   "Model",    "Tokens",        "Parts",
-                           "Urgency", "Last-Id",  { "Secret" },    "Limit",
-                           "Leaving" };
+    settings_.headers_ = { "Id",      "Deadline",   "Expect-Server",
+                           "Not-Run", "Stamp",      "Model",
+                           "Tokens",  "Parts",      "Urgency",
+                           "Last-Id", { "Secret" }, "Limit",
+                           "Leaving", {},           {},
+                           "Load" };
     settings_.parseRoutes_ = [](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
