--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -13,8 +13,6 @@
 
 /// Time that a model stays loaded at least, to serve the requests that waited.
 constexpr std::chrono::milliseconds kMinResidence{ 1500 };
-/// Expected duration of loading an adapter.
-constexpr std::chrono::milliseconds kAdapterLoadTime{ 20 };
 /// Eviction cost of a model in use: the unload has to wait for its requests.
 constexpr double kActiveEvictionCostS = 2.5;
 /// Eviction cost of a model that was never used, and the surcharge for one used
@@ -335,128 +333,6 @@
   return std::chrono::milliseconds(0);
 }
 
-void
-ModelPlacement::PlanAdapters(core::MonotonicTime aNow)
-{
-  for (const auto& [name, stats] : demandStats_) {
-    const ModelParts parts = SplitModel(name);
-    if (!parts.adapter_.empty() && stats.current_.waiting_ > 0) {
-      PlanAdapter(parts, aNow);
-    }
-  }
-}
-
-bool
-ModelPlacement::HasRoomForAdapter(const core::ServerId& aId,
-                                  const Server& aServer,
-                                  const core::ModelName& aModel) const
-{
-  const EngineLimits* limits = LimitsOf(aServer);
-  if (limits == nullptr || !limits->models_.contains(aModel)) {
-    return false;
-  }
-  std::size_t slots = 1;
-  for (const auto& [model, loaded] : aServer.models_) {
-    slots += loaded.adapters_.size();
-  }
-  const std::set<core::ModelName> open = OpenLoads(aId, aServer);
-  slots += static_cast<std::size_t>(
-    std::ranges::count_if(open, [](const core::ModelName& aLoad) {
-      return !SplitModel(aLoad).adapter_.empty();
-    }));
-  const std::uint32_t used = UsedMb(aServer, *limits) + LoadsMb(open, *limits) +
-                             limits->models_.at(aModel).adapterMb_;
-  return slots <= limits->adapterSlots_ && used <= limits->weightsMb_;
-}
-
-void
-ModelPlacement::PlanAdapter(const ModelParts& aParts, core::MonotonicTime aNow)
-{
-  Server* best = nullptr;
-  core::ServerId bestId;
-  std::size_t fewest = 0;
-  for (auto& [id, server] : servers_) {
-    const auto loaded = server.models_.find(aParts.model_);
-    if (loaded == server.models_.end()) {
-      continue;
-    }
-    const bool alreadyLoaded =
-      loaded->second.adapters_.contains(aParts.adapter_);
-    const bool planned =
-      std::ranges::any_of(server.plan_, [&](const PlacementOrder& aOrder) {
-        return aOrder.verb_ == PlacementVerb::Load &&
-               aOrder.model_ == aParts.model_ &&
-               aOrder.adapter_ == aParts.adapter_;
-      });
-    if (alreadyLoaded || planned) {
-      return;
-    }
-    std::size_t adapters = 0;
-    for (const auto& [model, other] : server.models_) {
-      adapters += other.adapters_.size();
-    }
-    const bool mayTake = server.verified_ && server.plan_.empty() &&
-                         !withheld_.contains(id) &&
-                         (OpenLoads(id, server).empty() ||
-                          HasRoomForAdapter(id, server, aParts.model_));
-    if (mayTake && (best == nullptr || adapters < fewest)) {
-      best = &server;
-      bestId = id;
-      fewest = adapters;
-    }
-  }
-  const EngineLimits* limits = best == nullptr ? nullptr : LimitsOf(*best);
-  if (limits == nullptr) {
-    return;
-  }
-  const auto size = limits->models_.find(aParts.model_);
-  if (size == limits->models_.end()) {
-    return;
-  }
-  // Evicts the least recently used adapter to make room.
-  const bool slotsFull = fewest >= limits->adapterSlots_;
-  const bool memoryFull =
-    UsedMb(*best, *limits) + size->second.adapterMb_ > limits->weightsMb_;
-  if (slotsFull || memoryFull) {
-    const core::ModelName* model = nullptr;
-    const std::string* adapter = nullptr;
-    core::MonotonicTime oldest = core::MonotonicTime::max();
-    for (const auto& [name, loaded] : best->models_) {
-      for (const std::string& other : loaded.adapters_) {
-        const auto use =
-          demandStats_.find(core::ModelName(name.Value() + "/" + other));
-        const bool needed =
-          use != demandStats_.end() && (use->second.current_.inFlight_ > 0 ||
-                                        use->second.current_.waiting_ > 0);
-        const core::MonotonicTime used = use == demandStats_.end()
-                                           ? core::MonotonicTime()
-                                           : use->second.lastUsed_;
-        if (!needed && used < oldest) {
-          oldest = used;
-          model = &name;
-          adapter = &other;
-        }
-      }
-    }
-    if (adapter == nullptr) {
-      return;
-    }
-    best->plan_.push_back({ bestId,
-                            PlacementVerb::Unload,
-                            *model,
-                            *adapter,
-                            WeightTier::Memory,
-                            std::chrono::milliseconds(0) });
-  }
-  best->plan_.push_back({ bestId,
-                          PlacementVerb::Load,
-                          aParts.model_,
-                          aParts.adapter_,
-                          WeightTier::Store,
-                          kAdapterLoadTime });
-  best->lastOrderAt_ = aNow;
-}
-
 // While the store is idle, loads models of which no server has a copy, so that
 // their first request does not wait for the store.
 void
