Keep copies of models on servers with few slots

With 12 to 24 slots a server and a store that serves one or two loads of 8 to 15 s, the loss of the only copy of a model costs its callers a whole load, and the constant of 6 requests a replica is up to half of a server's slots.

On servers with fewer than 48 slots: a replica more above a quarter of the slots (3 to 6 requests), from the store only above 6 as before; models in use that only a leaving or lost server had are loaded elsewhere at once, ahead of further replicas; in calm the store's free rate goes to second copies of what lies with one server. Servers with 48 slots and more are served as before.

--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -56,12 +56,6 @@
   servers_[aServer].service_ = aService;
 }
 
-void
-ModelPlacement::RemoveServer(const core::ServerId& aServer)
-{
-  servers_.erase(aServer);
-}
-
 void
 ModelPlacement::OnListedContent(const core::ServerId& aServer,
                                 const EngineContent& aContent,
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -187,6 +187,12 @@
     double rate_ = 0;
     core::MonotonicTime lastUsed_;
   };
+  struct ModelUse
+  {
+    /// Requests a second.
+    double rate_ = 0;
+    core::MonotonicTime lastUsed_;
+  };
   struct Replicas
   {
     /// Servers that have the model loaded and do not plan to unload it.
@@ -262,6 +268,23 @@
   void PlanAdapters(core::MonotonicTime aNow);
   void PlanAdapter(const ModelParts& aParts, core::MonotonicTime aNow);
   void PlanPrefetch(core::MonotonicTime aNow);
+  /// Whether the servers have so few slots that each model's share counts.
+  static bool FewSlots(const EngineLimits& aLimits);
+  /// Slots of the servers that may have the model.
+  std::uint32_t SlotsFor(const core::ModelName& aModel) const;
+  /// Requests for the model and its adapters.
+  ModelUse UseOf(const core::ModelName& aModel) const;
+  /// Models in use that no server has loaded since one has left, and that
+  /// nobody asks for yet.
+  std::vector<core::ModelName> TakeLostModels(core::MonotonicTime aNow);
+  /// Models that lie with one server only, the most wanted first.
+  std::vector<core::ModelName> LoneModels(const EngineLimits& aLimits) const;
+  /// The best server for a second copy of the model.
+  std::optional<Candidate> CopyServer(const EngineLimits& aLimits,
+                                      const core::ModelName& aModel,
+                                      core::MonotonicTime aNow) const;
+  /// While the store is idle and nobody asks for anything.
+  void PlanSecondCopies(core::MonotonicTime aNow);
   /// Whether no server has a copy of the model's weights.
   bool OnlyInStore(const core::ModelName& aModel) const;
   /// Loads from the store that are planned or in progress.
@@ -277,6 +300,9 @@
   std::map<core::ServerId, Server> servers_;
   std::map<core::ServerId, std::set<core::ModelName>> possibleLoads_;
   std::set<core::ServerId> withheld_;
+  /// Models of servers that have left.
+  std::set<core::ModelName> lostModels_;
+  core::MonotonicTime secondCopiesAt_;
   std::map<core::ModelName, DemandStats> demandStats_;
   /// Demand per model, with that for its adapters; only models with requests.
   std::map<core::ModelName, ModelDemand> demandByModel_;
--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -2,6 +2,7 @@
 // which ones to evict. ModelPlacement.cpp maintains the state that they read.
 #include "coordination/ModelPlacement.hpp"
 #include "core/Durations.hpp"
+#include "placement/ReplicaLoad.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -19,12 +20,9 @@
 /// recently, which falls with the time since its last use.
 constexpr double kUnusedEvictionCostS = 0.02;
 constexpr double kRecentUseEvictionCostS = 0.05;
-/// Running and waiting requests per replica above which a busy model gets
-/// another one.
-constexpr double kLoadPerReplica = 6;
-/// Requests per remaining replica up to which one may be given up; lower, since
+/// Share of the load per replica up to which one may be given up; lower, since
 /// demand fluctuates.
-constexpr double kScaleDownLoadPerReplica = 3;
+constexpr double kScaleDownShare = 0.5;
 /// Weight of a model's first replica relative to that of an additional one.
 constexpr double kFirstReplicaWeight = 20;
 /// Cost, in seconds, per request running at a candidate.
@@ -107,7 +105,9 @@
   // A model in use is evicted only if its other replicas can take its load.
   if (aServer.active_.contains(aModel) || demand.waiting_ > 0) {
     const double load = demand.waiting_ + demand.inFlight_;
-    if (replicas <= 1 || load / (replicas - 1) > kScaleDownLoadPerReplica) {
+    if (replicas <= 1 ||
+        load / (replicas - 1) >
+          kScaleDownShare * placement::LoadPerReplica(SlotsFor(aModel))) {
       return std::nullopt;
     }
     return kActiveEvictionCostS;
@@ -253,23 +253,38 @@
     core::ModelName model_;
     double weight_;
     bool urgent_;
+    bool mayUseStore_;
   };
   std::vector<WantedReplica> wantedReplicas;
   for (const auto& [model, demand] : demandByModel_) {
     const auto [replicas, plannedLoads] = ReplicasOf(model);
     const double load = demand.waiting_ + demand.inFlight_;
-    const auto desired =
-      static_cast<std::uint32_t>(std::ceil(load / kLoadPerReplica));
+    const auto replicasFor = [load](std::uint32_t aSlots) {
+      return static_cast<std::uint32_t>(
+        std::ceil(load / placement::LoadPerReplica(aSlots)));
+    };
+    const std::uint32_t desired = replicasFor(SlotsFor(model));
+    // A load from the store holds up others for longer than one from a disk.
+    const std::uint32_t worthStore = replicasFor(placement::kManySlots);
     const bool first = replicas + plannedLoads == 0 && demand.waiting_ > 0;
     if (first) {
       wantedReplicas.push_back(
-        { model, kFirstReplicaWeight * demand.weight_, true });
+        { model, kFirstReplicaWeight * demand.weight_, true, true });
     } else if (demand.waiting_ + demand.inFlight_ > 0) {
       for (std::uint32_t has = replicas + plannedLoads; has < desired; ++has) {
-        wantedReplicas.push_back({ model, load / (1.0 + has), false });
+        wantedReplicas.push_back(
+          { model, load / (1.0 + has), false, has < worthStore });
       }
     }
   }
+  for (const core::ModelName& model : TakeLostModels(aNow)) {
+    std::erase_if(wantedReplicas, [&](const WantedReplica& aReplica) {
+      return aReplica.model_ == model;
+    });
+    // Ahead of further replicas.
+    wantedReplicas.push_back(
+      { model, kFirstReplicaWeight * (1 + UseOf(model).rate_), false, true });
+  }
   std::ranges::sort(
     wantedReplicas,
     [](const WantedReplica& aLeft, const WantedReplica& aRight) {
@@ -292,6 +307,9 @@
     }
     const bool store = candidate ? candidate->tier_ == WeightTier::Store
                                  : OnlyInStore(replica.model_);
+    if (store && !replica.mayUseStore_) {
+      continue;
+    }
     if (candidate && (!store || (StoreLoads() < storeLoadLimit_ &&
                                  TryTakeStoreToken(aNow)))) {
       PlanLoad(*candidate, replica.model_);
@@ -369,6 +387,7 @@
     }
   }
   if (wanted == nullptr) {
+    PlanSecondCopies(aNow);
     return;
   }
   const auto candidate = BestServer(*wanted, aNow, false);
