Refuse withdrawn keys, count tenants and test keys whole

Cause: a request that waited for a server ran with a key that a newer table no longer had; several Authorization headers were judged by the first one; a refusal of a HEAD request had a body, which the caller took for the next answer on its connection; a tenant's name with a line break would have ended its header, and only the first bad key of a tenant was reported. Change: waiting requests look their key up in the newest table: 401, or the tenant that the key has moved to; 502 if an attempt may have run. Requests with several keys get 401; headers that differ from the key's and the tenant's only by _ for - are dropped, too. Outcomes and refusals name the tenant; requests and refusals are counted for 64 tenants and all others.

--- a/admission/Tenants.hpp
+++ b/admission/Tenants.hpp
@@ -40,7 +40,7 @@
 struct Tenant
 {
   TenantName name_;
-  /// Replaces the priority of the route; 0 is the most urgent.
+  /// Comes before the priority of the route; 0, or none, is the most urgent.
   std::optional<std::uint32_t> priority_;
   Quota quota_;
 };
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -12,6 +12,7 @@
 #include "entry/FleetLink.hpp"
 #include "entry/GatewaySettings.hpp"
 #include "entry/ServerPool.hpp"
+#include "entry/TenantCounters.hpp"
 #include "transport/HttpLink.hpp"
 
 #include <cstdint>
@@ -149,6 +150,7 @@
   const std::int64_t instance_;
   core::MetricsRegistry metrics_;
   std::unique_ptr<Counters> counters_;
+  TenantCounters tenantCounters_{ metrics_ };
 
   std::shared_ptr<const coordination::RouteTable> routes_;
   coordination::BackendView view_;
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -169,22 +169,6 @@
   timer_.cancel();
 }
 
-bool
-GatewayCall::Authenticate()
-{
-  const admission::TenantDirectory& tenants = routes_->Tenants();
-  if (!tenants.Empty() && !route_->anonymous_) {
-    const auto header = request_[gateway_.settings_.headers_.key_];
-    tenant_ =
-      tenants.FindByKey(admission::BearerKey({ header.data(), header.size() }));
-    if (tenant_ == nullptr) {
-      return false;
-    }
-  }
-  rank_ = routes_->RankOf(*route_, tenant_);
-  return true;
-}
-
 bool
 GatewayCall::ResolveRequest()
 {
@@ -295,6 +279,10 @@
     if (outcome == AttemptResult::Done || callerGone_) {
       co_return;
     }
+    if (KeyWithdrawn()) {
+      co_await RefuseWithoutSlot();
+      co_return;
+    }
     if (!MayRetry(outcome)) {
       if (streaming_) {
         // Closed without the final chunk, so that the caller can tell that the
@@ -391,8 +379,7 @@
         return transport::beast::iequals(name, aOther);
       });
     const bool identifiesCaller =
-      hasTenants && (transport::beast::iequals(name, names.key_) ||
-                     transport::beast::iequals(name, names.tenant_));
+      hasTenants && IdentifiesCaller({ name.data(), name.size() });
     if (!IsHopByHop(name) && !reserved && !identifiesCaller) {
       out.insert(field.name_string(), field.value());
     }
@@ -503,11 +490,12 @@
     Finish(callerGone_ ? SendOutcome::Neutral : SendOutcome::Unreachable);
     co_return AttemptResult::RetryUnsent;
   }
-  if (HeldBack()) {
+  if (HeldBack() || KeyWithdrawn()) {
     Finish(SendOutcome::Neutral);
     link->Abort();
     co_return AttemptResult::RetryUnsent;
   }
+  UpdateTenant();
   auto& models = gateway_.models_;
   const core::ModelName model = requirements_.model_;
   if (!model.Empty()) {
@@ -612,6 +600,9 @@
                     std::optional<core::Duration> aRetryAfter)
 {
   gateway_.CountRefusal(aReason);
+  if (tenant_ != nullptr) {
+    gateway_.tenantCounters_.OnRefusal(tenant_->name_);
+  }
   http::response<http::string_body> answer;
   answer.version(11);
   answer.result(aStatus);
@@ -631,19 +622,25 @@
   answer.body() = std::string(NameOf(aReason)) + "\n";
   answer.keep_alive(DecideKeepAlive());
   answer.prepare_payload();
+  if (request_.method() == http::verb::head) {
+    // The caller would take a body for the next answer on its connection.
+    answer.body().clear();
+  }
   core::Log(core::LogLevel::Info,
             "request refused",
             { { "request", std::string(id) },
               { "reason", NameOf(aReason) },
               { "status", std::to_string(aStatus) },
               { "route", route_ == nullptr ? "" : route_->name_ },
+              { "tenant", tenant_ == nullptr ? "" : tenant_->name_.Value() },
               { "model", requirements_.model_.Value() },
               { "waited_ms",
                 std::to_string(
                   core::Milliseconds(gateway_.clock_.Now() - arrivedAt_)) },
               { "left_ms",
-                std::to_string(
-                  route_ == nullptr ? 0 : core::Milliseconds(TimeLeft())) } });
+                std::to_string(deadline_ == core::MonotonicTime()
+                                 ? 0
+                                 : core::Milliseconds(TimeLeft())) } });
   const bool written = co_await link_->Write(answer);
   keepAlive_ = keepAlive_ && written;
 }
@@ -656,6 +653,7 @@
     aOutcome,
     { { "request", id_ },
       { "route", route_ == nullptr ? "" : route_->name_ },
+      { "tenant", tenant_ == nullptr ? "" : tenant_->name_.Value() },
       { "server", choice_.server_.Value() },
       { "model", requirements_.model_.Value() },
       { "tokens", std::string(request_[gateway_.settings_.headers_.tokens_]) },
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace crocusslip::entry {
 
@@ -64,6 +65,15 @@
   /// Finds the tenant of the request's key. Returns false if the request needs
   /// a key and has none that a tenant has.
   bool Authenticate();
+  /// The request's key; empty without one.
+  std::string_view Key() const;
+  /// Whether the newest table no longer has the request's key. A stream that
+  /// has begun keeps its key.
+  bool KeyWithdrawn() const;
+  /// Takes the tenant to which the newest table has moved the key, if it has.
+  void UpdateTenant();
+  /// Whether servers identify callers by this header.
+  bool IdentifiesCaller(std::string_view aHeader) const;
   transport::Task<void> AwaitRoutes();
   transport::Task<void> Forward();
   transport::Task<bool> AwaitSlot();
@@ -134,6 +144,8 @@
   const coordination::Route* route_ = nullptr;
   /// Null without tenants, and on anonymous routes.
   const admission::Tenant* tenant_ = nullptr;
+  /// The table that tenant_ is of, if it is newer than routes_.
+  std::shared_ptr<const coordination::RouteTable> tenantRoutes_;
   /// 0 is the most urgent.
   std::uint32_t rank_ = 0;
   coordination::BackendRequirements requirements_;
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -24,7 +24,7 @@
 GatewayCall::SlotDeadline() const
 {
   const core::MonotonicTime now = gateway_.clock_.Now();
-  if (HeldBack()) {
+  if (HeldBack() || KeyWithdrawn()) {
     return std::nullopt;
   }
   const auto choiceStatus =
@@ -82,7 +82,7 @@
     // The stop might cut it.
     co_return false;
   }
-  if (HeldBack() || givenUp_) {
+  if (HeldBack() || KeyWithdrawn() || givenUp_) {
     co_return false;
   }
   queueId_ = gateway_.queue_.Add({ requirements_,
@@ -114,7 +114,7 @@
     gateway_.waiting_.erase(*queueId_);
     queueId_.reset();
   }
-  if (hasSlot_ && (callerGone_ || HeldBack())) {
+  if (hasSlot_ && (callerGone_ || HeldBack() || KeyWithdrawn())) {
     awaitingFirstEvent_ = true;
     Finish(SendOutcome::Neutral);
     hasSlot_ = false;
@@ -143,6 +143,11 @@
     LogOutcome("no server to resume stream");
     co_return;
   }
+  if (KeyWithdrawn()) {
+    co_await Refuse(
+      GatewayRefusal::UnknownKey, runs_ > 0 ? 502 : 401, std::nullopt);
+    co_return;
+  }
   const auto choiceStatus =
     gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
   core::Duration retryAfter = kDefaultRetryAfter;
--- /dev/null
+++ b/entry/TenantCounters.cpp
@@ -0,0 +1,66 @@
+#include "entry/TenantCounters.hpp"
+
+namespace crocusslip::entry {
+
+namespace {
+
+/// Stands for all tenants that are not counted by name.
+const admission::TenantName kOthers("other");
+
+/// As a label of the Prometheus text format.
+std::string
+LabelOf(const admission::TenantName& aTenant)
+{
+  std::string label = "tenant=\"";
+  for (const char letter : aTenant.Value()) {
+    if (letter == '\\' || letter == '"') {
+      label += '\\';
+    }
+    label += letter;
+  }
+  return label + "\"";
+}
+
+} // namespace
+
+TenantCounters::TenantCounters(core::MetricsRegistry& aMetrics)
+  : metrics_(aMetrics)
+{
+}
+
+void
+TenantCounters::OnRequest(const admission::TenantName& aTenant)
+{
+  Find(aTenant).requests_->Add();
+}
+
+void
+TenantCounters::OnRefusal(const admission::TenantName& aTenant)
+{
+  Find(aTenant).refusals_->Add();
+}
+
+const TenantCounters::Counters&
+TenantCounters::Find(const admission::TenantName& aTenant)
+{
+  const auto found = tenants_.find(aTenant);
+  if (found != tenants_.end()) {
+    return found->second;
+  }
+  const bool named =
+    tenants_.size() - tenants_.count(kOthers) < kMaxNamedTenants;
+  if (!named && aTenant != kOthers) {
+    return Find(kOthers);
+  }
+  Counters& added = tenants_[aTenant];
+  const std::string label = LabelOf(aTenant);
+  added.requests_ = &metrics_.AddCounter("crocusslip_tenant_requests_total",
+                                         label,
+                                         "Requests with a key of the tenant.");
+  added.refusals_ = &metrics_.AddCounter("crocusslip_tenant_refusals_total",
+                                         label,
+                                         "Of these, refused by the gateway.");
+  return added;
+}
+
+} // namespace crocusslip::entry
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -2,6 +2,7 @@
 
 #include "Fleet.h"
 #include "entry/Gateway.hpp"
+#include "platform/RoutesReader.hpp"
 #include "protocol/Compression.hpp"
 #include "tests/support/LocalSystem.hpp"
 #include "transport/HttpLink.hpp"
@@ -86,11 +87,11 @@
     aReply.crashEpoch = crashEpoch_;
     aReply.complete = aRequest.epoch != 1;
     aReply.hosts = 1;
-    aReply.routesVersion = 1;
-    if (aRequest.routesVersion < 1 && aRequest.takesCompressed) {
-      const std::string routes = "routes";
-      aReply.compressedRoutes = protocol::Compress(routes);
-      aReply.routesBytes = static_cast<std::int32_t>(routes.size());
+    reportedRoutes_ = aRequest.routesVersion;
+    aReply.routesVersion = routesVersion_;
+    if (aRequest.routesVersion < routesVersion_ && aRequest.takesCompressed) {
+      aReply.compressedRoutes = protocol::Compress(routes_);
+      aReply.routesBytes = static_cast<std::int32_t>(routes_.size());
     }
   }
   void join(wire::JoinAnswer&, const wire::JoinRequest&) override {}
@@ -178,6 +179,21 @@
     return reportedRateLimit_;
   }
 
+  /// Publishes a text that the gateway's settings_.parseRoutes_ reads.
+  void SetRoutes(std::int64_t aVersion, std::string aText)
+  {
+    const std::lock_guard lock(mutex_);
+    routesVersion_ = aVersion;
+    routes_ = std::move(aText);
+  }
+
+  /// Version of the routes that the gateway has.
+  std::int64_t ReportedRoutes()
+  {
+    const std::lock_guard lock(mutex_);
+    return reportedRoutes_;
+  }
+
   void SetLeader(bool aIsLeader)
   {
     const std::lock_guard lock(mutex_);
@@ -193,6 +209,9 @@
   std::int32_t grantsLeft_ = 0;
   std::int32_t reportedRateLimit_ = 0;
   int crashReportsToFail_ = 0;
+  std::int64_t routesVersion_ = 1;
+  std::int64_t reportedRoutes_ = 0;
+  std::string routes_ = "routes";
   /// Differs from the epoch, which stays while a new leader reads the list.
   std::int64_t crashEpoch_ = 2;
   bool isLeader_ = true;
@@ -256,12 +275,17 @@
       "127.0.0.1:" + std::to_string(tests::FreePort());
     settings_.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
     settings_.retries_ = { 0.2, 50, 10s };
-    settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
-                           "Stamp",   "Model",    "Tokens",        "Parts",
-                           "Urgency", "Last-Id",  { "Secret" },    "Limit",
-                           "Leaving" };
-    settings_.parseRoutes_ = [](const std::string&) {
+    settings_.headers_ = { "Id",      "Deadline",      "Expect-Server",
+                           "Not-Run", "Stamp",         "Model",
+                           "Tokens",  "Parts",         "Urgency",
+                           "Last-Id", { "Secret" },    "Limit",
+                           "Leaving", "Authorization", "X-Tenant",
+                           "Load" };
+    settings_.parseRoutes_ = [](const std::string& aText) {
       using coordination::RequestKind;
+      if (aText.starts_with('{')) {
+        return platform::ReadRouteTable(aText);
+      }
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
         1,
         { MakeRoute("/safe/", RequestKind::Idempotent),
