--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -88,23 +88,23 @@
     aReply.hosts = 1;
     aReply.routesVersion = 1;
     if (aRequest.routesVersion < 1 && aRequest.takesCompressed) {
-      const std::string routes = "routes";
-      aReply.compressedRoutes = protocol::Compress(routes);
-      aReply.routesBytes = static_cast<std::int32_t>(routes.size());
+      aReply.compressedRoutes = protocol::Compress(routes_);
+      aReply.routesBytes = static_cast<std::int32_t>(routes_.size());
     }
   }
   void join(wire::JoinAnswer&, const wire::JoinRequest&) override {}
 
   void AddServer(const std::string& aId,
                  std::uint16_t aPort,
-                 const std::string& aService = "desk")
+                 const std::string& aService = "desk",
+                 std::int32_t aSlots = kServerSlots)
   {
     const std::lock_guard lock(mutex_);
     wire::ServerRow row;
     row.server = aId;
     row.address = "127.0.0.1:" + std::to_string(aPort);
     row.serviceName = aService;
-    row.slots = kServerSlots;
+    row.slots = aSlots;
     reply_.rows.push_back(row);
   }
 
@@ -178,6 +178,13 @@
     return reportedRateLimit_;
   }
 
+  /// Table of routes, for a process with a reader of its own.
+  void SetRoutes(std::string aText)
+  {
+    const std::lock_guard lock(mutex_);
+    routes_ = std::move(aText);
+  }
+
   void SetLeader(bool aIsLeader)
   {
     const std::lock_guard lock(mutex_);
@@ -187,6 +194,7 @@
 private:
   std::mutex mutex_;
   wire::SyncReply reply_;
+  std::string routes_ = "routes";
   std::vector<wire::Crash> crashes_;
   std::set<std::int64_t> startedParts_;
   std::vector<std::int64_t> reportedHeldParts_;
@@ -256,10 +264,12 @@
       "127.0.0.1:" + std::to_string(tests::FreePort());
     settings_.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
     settings_.retries_ = { 0.2, 50, 10s };
-    settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
-                           "Stamp",   "Model",    "Tokens",        "Parts",
-                           "Urgency", "Last-Id",  { "Secret" },    "Limit",
-                           "Leaving" };
+    settings_.headers_ = { "Id",      "Deadline",   "Expect-Server",
+                           "Not-Run", "Stamp",      "Model",
+                           "Tokens",  "Parts",      "Urgency",
+                           "Last-Id", { "Secret" }, "Limit",
+                           "Leaving", "",           "",
+                           "" };
     settings_.parseRoutes_ = [](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
