Bound by one budget what an entry process holds for its callers

Cause: each body was bounded, their sum was not; strings grew by doubling beyond the limit, heads of tiny fields took twenty times their size, each attempt copied the body, and callers' connections had no bound. Change: admission/ByteBudget (docs/design/byte-budget.md) decides who holds, waits and yields; transport/RequestReader asks for room before it allocates and stops reading without it; entry/MemoryAccount joins the two. Answers are in the same budget and wait for room where they failed before.

--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -1,8 +1,10 @@
 #include "entry/Gateway.hpp"
 
+#include "core/Hash.hpp"
 #include "core/Log.hpp"
 #include "core/Reasons.hpp"
 #include "entry/GatewayCall.hpp"
+#include "entry/GatewayCounters.hpp"
 
 #include <algorithm>
 #include <array>
@@ -42,9 +44,9 @@
 constexpr std::size_t kMaxSuspects = 512;
 
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
-  "no_routes_yet", "no_route",      "no_server",   "no_model",
-  "full",          "deadline_over", "quarantined", "not_run_elsewhere",
-  "broken",        "malformed",     "draining",    "unknown_key",
+  "no_routes_yet", "no_route",    "no_server",         "no_model", "full",
+  "deadline_over", "quarantined", "not_run_elsewhere", "broken",   "malformed",
+  "draining",      "unknown_key", "no_memory",
 };
 
 coordination::CrashGuardSettings
@@ -65,25 +67,6 @@
   return kRefusalNames.at(static_cast<std::size_t>(aReason));
 }
 
-struct Gateway::Counters
-{
-  explicit Counters(core::MetricsRegistry& aMetrics)
-    : requests_(aMetrics.AddCounter("crocusslip_requests_total",
-                                    "",
-                                    "Requests of callers."))
-  {
-    for (std::size_t i = 0; i < kGatewayRefusals; ++i) {
-      refusals_.at(i) = &aMetrics.AddCounter(
-        "crocusslip_refusals_total",
-        std::string("reason=\"") + kRefusalNames.at(i) + "\"",
-        "Requests that the gateway answered itself.");
-    }
-  }
-
-  core::Counter& requests_;
-  std::array<core::Counter*, kGatewayRefusals> refusals_{};
-};
-
 Gateway::Gateway(transport::asio::io_context& aLoop,
                  GatewaySettings aSettings,
                  const core::Clock& aClock)
@@ -93,6 +76,12 @@
   , random_(core::DeviceSeed())
   , instance_(static_cast<std::int64_t>(random_.Next() >> 2U))
   , counters_(std::make_unique<Counters>(metrics_))
+  , memory_(std::make_shared<MemoryBudget>(
+      aLoop,
+      clock_,
+      admission::ByteLimits::ForMemory(settings_.memoryLimit_),
+      metrics_))
+  , maxCallers_(MaxCallerConnections(settings_))
   , view_(settings_.failureDomain_)
   , crashGuard_(MakeGuardSettings())
   , fleet_(
@@ -109,6 +98,9 @@
 {
   callerListener_ = std::make_unique<transport::LinkListener>(
     loop_, settings_.callerAddress_, [this](transport::Tcp::socket aSocket) {
+      if (!AdmitConnection()) {
+        return;
+      }
       auto link =
         std::make_shared<transport::CallerLink>(std::move(aSocket), Limits());
       callerLinks_.insert(link);
@@ -165,8 +157,10 @@
     case ReadResult::Complete:
     case ReadResult::Closed:
     case ReadResult::Broken:
+    case ReadResult::Yielded:
       co_return false;
     case ReadResult::HeaderTimeout:
+    case ReadResult::BodyTimeout:
       status = 408;
       break;
     case ReadResult::HeaderTooLarge:
@@ -194,21 +188,34 @@
 Task<void>
 Gateway::ServeCaller(LinkPtr aLink)
 {
+  const std::uint64_t caller = core::Hash64(aLink->PeerAddress());
   bool keepAlive = true;
   while (keepAlive) {
     HttpRequest request;
+    auto account = std::make_shared<MemoryAccount>(
+      memory_, admission::HolderKind::Body, caller, aLink);
     aLink->SetBusy(false);
-    const ReadResult read = co_await aLink->Read(request, Limits());
+    const ReadResult read =
+      co_await aLink->Read(request, Limits(), account.get());
     if (read == ReadResult::Closed) {
       aLink->Close();
       break;
     }
+    if (read != ReadResult::Complete) {
+      account->GiveBackAll();
+    }
+    if (read == ReadResult::Yielded) {
+      co_await RejectYielded(aLink, request);
+      break;
+    }
     if (read != ReadResult::Complete) {
       co_await RejectUnreadable(*aLink, read);
       break;
     }
     counters_->requests_.Add();
-    auto call = std::make_shared<GatewayCall>(*this, aLink, std::move(request));
+    account->Complete();
+    auto call = std::make_shared<GatewayCall>(
+      *this, aLink, std::move(request), std::move(account));
     calls_.insert(call.get());
     try {
       keepAlive = co_await call->Run();
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -11,6 +11,7 @@
 #include "core/Random.hpp"
 #include "entry/FleetLink.hpp"
 #include "entry/GatewaySettings.hpp"
+#include "entry/MemoryAccount.hpp"
 #include "entry/ServerPool.hpp"
 #include "transport/HttpLink.hpp"
 
@@ -55,11 +56,17 @@
   Draining,
   /// The request has no key, or one that no tenant has.
   UnknownKey,
+  /// The request was not read whole: the process has no room for it.
+  NoMemory,
 };
-inline constexpr std::size_t kGatewayRefusals = 12;
+inline constexpr std::size_t kGatewayRefusals = 13;
 const char*
 NameOf(GatewayRefusal aReason);
 
+/// Bound of callers' connections; 0: none.
+std::size_t
+MaxCallerConnections(const GatewaySettings& aSettings);
+
 /// Forwards callers' requests to backend servers on one event loop. The routing
 /// table and the state of the servers come from the control group; a host that
 /// is cut off from the group continues with the last state it received.
@@ -93,6 +100,14 @@
   transport::Task<void> ServeReadiness(LinkPtr aLink);
   transport::Task<bool> RejectUnreadable(transport::CallerLink& aLink,
                                          transport::ReadResult aResult);
+  /// Answers a request that gave way to others, and that has not run.
+  transport::Task<void> RejectYielded(LinkPtr aLink,
+                                      const transport::HttpRequest& aRequest);
+  /// Whether there is a place for one more caller; closes idle connections for
+  /// it, then such as have stalled within a request.
+  bool AdmitConnection();
+  std::size_t CloseIdlest(std::size_t aMost);
+  std::size_t CloseStalled(std::size_t aMost);
   transport::Task<void> Housekeeping();
   transport::Task<void> StopAfterGrace();
   void CloseIdleConnections();
@@ -149,6 +164,8 @@
   const std::int64_t instance_;
   core::MetricsRegistry metrics_;
   std::unique_ptr<Counters> counters_;
+  const std::shared_ptr<MemoryBudget> memory_;
+  const std::size_t maxCallers_;
 
   std::shared_ptr<const coordination::RouteTable> routes_;
   coordination::BackendView view_;
@@ -199,8 +216,6 @@
   std::set<LinkPtr> callerLinks_;
   /// Calls from their request's last byte to the end of their answer.
   std::set<GatewayCall*> calls_;
-  /// Answers of servers that calls hold in memory, in bytes.
-  std::size_t heldAnswerBytes_ = 0;
   bool draining_ = false;
   /// While draining: time at which requests still waiting for a server slot are
   /// refused.
--- a/entry/GatewayAnswers.cpp
+++ b/entry/GatewayAnswers.cpp
@@ -29,10 +29,11 @@
 constexpr int kMaxStrayAnswers = 3;
 /// Largest event of a stream.
 constexpr std::size_t kMaxEventBytes = 64UL * 1024;
-/// Largest answer that is not a stream, and the most that all calls of the
-/// process hold in memory together.
+/// Largest answer that is not a stream. What all calls hold together is
+/// bounded by the budget.
 constexpr std::size_t kMaxAnswerBytes = 4UL * 1024 * 1024;
-constexpr std::size_t kMaxHeldAnswerBytes = 32UL * 1024 * 1024;
+/// What an answer may take without asking for room.
+constexpr std::size_t kFreeBytes = 4096;
 
 } // namespace
 
@@ -65,16 +66,40 @@
   co_return false;
 }
 
-void
-GatewayCall::ReleaseAnswerMemory()
+Task<bool>
+GatewayCall::GrowAnswer(std::string& aBody, std::size_t aMore)
 {
-  gateway_.heldAnswerBytes_ -= std::exchange(heldAnswerBytes_, 0);
+  const std::size_t needed = aBody.size() + aMore;
+  if (needed <= std::max(answerReserved_, kFreeBytes)) {
+    co_return true;
+  }
+  const std::size_t next =
+    std::max(needed, std::min(2 * aBody.size(), kMaxAnswerBytes));
+  if (!answerMemory_) {
+    answerMemory_ = std::make_unique<MemoryAccount>(
+      gateway_.memory_, admission::HolderKind::Answer, 0, nullptr);
+  }
+  if (!answerMemory_->TryReserve(next) &&
+      !co_await answerMemory_->AwaitRoomFor(next, TimeLeft())) {
+    co_return false;
+  }
+  std::string larger;
+  larger.reserve(next);
+  larger += aBody;
+  aBody.swap(larger);
+  larger = {};
+  answerMemory_->Release(std::exchange(answerReserved_, next));
+  co_return true;
 }
 
 Task<bool>
 GatewayCall::ReadWholeBody(ServerLink& aServer, std::string& aBody)
 {
-  ReleaseAnswerMemory();
+  answerReserved_ = 0;
+  // The answer of an attempt before may be held to be passed on.
+  if (answerMemory_ && !failedAnswer_) {
+    answerMemory_->GiveBackAll();
+  }
   while (true) {
     const auto part = co_await aServer.ReadBody(
       std::max<core::Duration>(TimeLeft(), std::chrono::milliseconds(1)));
@@ -84,13 +109,14 @@
     if (part->empty()) {
       co_return true;
     }
-    aBody += *part;
-    heldAnswerBytes_ += part->size();
-    gateway_.heldAnswerBytes_ += part->size();
-    if (TimeLeft() <= core::Duration(0) || aBody.size() > kMaxAnswerBytes ||
-        gateway_.heldAnswerBytes_ > kMaxHeldAnswerBytes) {
+    const bool hasRoom = co_await GrowAnswer(aBody, part->size());
+    if (hasRoom) {
+      aBody += *part;
+    }
+    if (!hasRoom || TimeLeft() <= core::Duration(0) ||
+        aBody.size() > kMaxAnswerBytes) {
       core::Log(core::LogLevel::Warning,
-                "answer is too long",
+                hasRoom ? "answer is too long" : "no room for answer",
                 { { "request", id_ },
                   { "server", choice_.server_.Value() },
                   { "bytes", std::to_string(aBody.size()) } });
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -4,6 +4,7 @@
 #include "core/Durations.hpp"
 #include "core/Hash.hpp"
 #include "core/Log.hpp"
+#include "entry/GatewayCounters.hpp"
 #include "entry/HopByHop.hpp"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
 using coordination::RequestKind;
 using coordination::SendOutcome;
 using transport::AnswerHead;
+using transport::ForwardedRequest;
 using transport::HttpRequest;
 using transport::ServerLink;
 using transport::Task;
@@ -93,10 +95,12 @@
 
 GatewayCall::GatewayCall(Gateway& aGateway,
                          std::shared_ptr<transport::CallerLink> aLink,
-                         HttpRequest aRequest)
+                         HttpRequest aRequest,
+                         std::shared_ptr<MemoryAccount> aMemory)
   : gateway_(aGateway)
   , link_(std::move(aLink))
   , request_(std::move(aRequest))
+  , requestMemory_(std::move(aMemory))
   , routes_(aGateway.routes_)
   , arrivedAt_(aGateway.clock_.Now())
   , timer_(aGateway.loop_)
@@ -105,7 +109,6 @@
 
 GatewayCall::~GatewayCall()
 {
-  ReleaseAnswerMemory();
   if (queueId_) {
     gateway_.queue_.Remove(*queueId_);
     gateway_.waiting_.erase(*queueId_);
@@ -123,6 +126,9 @@
     LogOutcome("served");
   }
   link_->CancelWait();
+  if (link_->WriteTimedOut()) {
+    gateway_.counters_->slowReaders_.Add();
+  }
   co_return keepAlive_ && !callerGone_;
 }
 
@@ -166,6 +172,9 @@
   if (activeLink_ != nullptr) {
     activeLink_->Abort();
   }
+  if (answerMemory_) {
+    answerMemory_->CancelWait();
+  }
   timer_.cancel();
 }
 
@@ -375,12 +384,12 @@
   return deadline_ - gateway_.clock_.Now();
 }
 
-HttpRequest
+ForwardedRequest
 GatewayCall::MakeServerRequest() const
 {
   const protocol::CallHeaders& names = gateway_.settings_.headers_;
   const bool hasTenants = !routes_->Tenants().Empty();
-  HttpRequest out;
+  ForwardedRequest out;
   out.method_string(request_.method_string());
   out.target(request_.target());
   out.version(11);
@@ -410,7 +419,7 @@
   if (lastEvent_) {
     out.set(names.lastEvent_, std::to_string(*lastEvent_));
   }
-  out.body() = request_.body();
+  out.body() = { request_.body().data(), request_.body().size() };
   out.prepare_payload();
   return out;
 }
@@ -541,7 +550,7 @@
 Task<GatewayCall::AttemptResult>
 GatewayCall::Exchange(ServerLink& aServer)
 {
-  const HttpRequest out = MakeServerRequest();
+  const ForwardedRequest out = MakeServerRequest();
   // deadline_ excludes kAnswerReturnTime; the server may use that time too.
   const core::Duration left = TimeLeft() + kAnswerReturnTime;
   const bool last = IsLastAttempt();
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -20,7 +20,8 @@
 public:
   GatewayCall(Gateway& aGateway,
               std::shared_ptr<transport::CallerLink> aLink,
-              transport::HttpRequest aRequest);
+              transport::HttpRequest aRequest,
+              std::shared_ptr<MemoryAccount> aMemory);
   ~GatewayCall();
   GatewayCall(const GatewayCall&) = delete;
   GatewayCall& operator=(const GatewayCall&) = delete;
@@ -87,14 +88,16 @@
   /// process holds.
   transport::Task<bool> ReadWholeBody(transport::ServerLink& aServer,
                                       std::string& aBody);
-  void ReleaseAnswerMemory();
+  /// Makes room in a body for aMore bytes. False when there is none in time.
+  transport::Task<bool> GrowAnswer(std::string& aBody, std::size_t aMore);
   transport::Task<AttemptResult> RelayStream(
     transport::ServerLink& aServer,
     const transport::AnswerHead& aHead);
   transport::Task<bool> WriteStreamHead(const transport::AnswerHead& aHead);
   /// A pooled or a new connection to the chosen server; null on failure.
   transport::Task<std::unique_ptr<transport::ServerLink>> OpenConnection();
-  transport::HttpRequest MakeServerRequest() const;
+  /// Refers to the body of request_.
+  transport::ForwardedRequest MakeServerRequest() const;
   /// Whether the current attempt is the last that the route allows.
   bool IsLastAttempt() const;
   /// How long a server may take to begin its answer before the request is
@@ -128,6 +131,8 @@
   Gateway& gateway_;
   const std::shared_ptr<transport::CallerLink> link_;
   transport::HttpRequest request_;
+  /// What request_ takes up.
+  const std::shared_ptr<MemoryAccount> requestMemory_;
   /// The call uses one version of the table throughout, even when a newer one
   /// is published in the meantime.
   std::shared_ptr<const coordination::RouteTable> routes_;
@@ -148,8 +153,9 @@
   transport::ServerLink* activeLink_ = nullptr;
   /// The current attempt's connection has carried other requests before.
   bool connectionUsedBefore_ = false;
-  /// This call's part of Gateway::heldAnswerBytes_.
-  std::size_t heldAnswerBytes_ = 0;
+  /// What answers of servers take up, and the part of the current one.
+  std::unique_ptr<MemoryAccount> answerMemory_;
+  std::size_t answerReserved_ = 0;
   std::optional<coordination::DispatchQueue::Id> queueId_;
   coordination::BackendChoice choice_;
   /// A server slot is assigned to the current attempt.
--- a/tests/ClientCrowdTest.cpp
+++ b/tests/ClientCrowdTest.cpp
@@ -16,8 +16,6 @@
 using crocusslip::transport::Tcp;
 
 constexpr EntryLimits kLimits{ 48, 400, kMebi };
-/// The process may not hold more than its settings allow it.
-constexpr std::uint64_t kMemoryBound = kLimits.memoryMb_ * kMebi;
 constexpr int kCrowd = 80;
 /// Longest time for which one client keeps sending.
 constexpr std::chrono::seconds kSendTime{ 8 };
@@ -31,6 +29,11 @@
 constexpr std::size_t kLargeAnswer = kMebi;
 constexpr std::size_t kEventBytes = 8UL * 1024;
 constexpr int kPipelined = 500;
+constexpr std::size_t kLargeChunk = 64UL * 1024;
+constexpr int kCountedClients = 12;
+/// What the process takes beyond what it counts.
+constexpr double kOverhead = 1.05;
+constexpr double kFixedOverhead = 2.0 * kMebi;
 constexpr int kRounds = 5;
 constexpr std::size_t kTinyFieldBytes = 15UL * 1024;
 /// Receive buffer of the crowd, so that what it does not take stays with the
@@ -111,8 +114,10 @@
 
 struct Crowd
 {
-  explicit Crowd(const RequestHandler& aServer = Answers(4))
-    : process_(kLimits)
+  explicit Crowd(const RequestHandler& aServer = Answers(4),
+                 const EntryLimits& aLimits = kLimits)
+    : limits_(aLimits)
+    , process_(aLimits)
   {
     process_.StartServer(aServer, 4 * kCrowd);
     BOOST_REQUIRE(process_.Serves("/once/x"));
@@ -189,20 +194,22 @@
   /// serves an ordinary request; once the crowd is gone also the largest.
   void Check()
   {
-    BOOST_TEST(process_.Descriptors() < kLimits.maxDescriptors_);
+    BOOST_TEST(process_.Descriptors() < limits_.maxDescriptors_);
     Settle();
     BOOST_TEST(process_.Lives());
     BOOST_TEST(process_.Serves("/once/x"));
-    BOOST_TEST(process_.Memory("VmHWM:") < kMemoryBound);
-    BOOST_TEST(process_.Descriptors() < kLimits.maxDescriptors_);
+    // No more than its settings allow it.
+    BOOST_TEST(process_.Memory("VmHWM:") < limits_.memoryMb_ * kMebi);
+    BOOST_TEST(process_.Descriptors() < limits_.maxDescriptors_);
     BOOST_TEST_MESSAGE("VmHWM " << process_.Memory("VmHWM:") / 1024
                                 << " kB, descriptors "
                                 << process_.Descriptors());
     clients_.clear();
-    BOOST_TEST(process_.Serves("/once/x", kLimits.bodyBytes_));
-    BOOST_TEST(process_.Memory("VmHWM:") < kMemoryBound);
+    BOOST_TEST(process_.Serves("/once/x", limits_.bodyBytes_));
+    BOOST_TEST(process_.Memory("VmHWM:") < limits_.memoryMb_ * kMebi);
   }
 
+  const EntryLimits limits_;
   EntryProcess process_;
   std::vector<std::shared_ptr<Tcp::socket>> clients_;
 };
@@ -259,6 +266,32 @@
   crowd.Check();
 }
 
+// The smallest machine with the limits of our pages.
+BOOST_AUTO_TEST_CASE(LeavesRoomForTheLargestBody)
+{
+  const EntryLimits limits{ 112, 2870, 4 * kMebi };
+  Crowd crowd(Answers(4), limits);
+  BOOST_TEST(crowd.process_.Call("/once/x", limits.bodyBytes_) == 200U);
+  crowd.Send(Announced(limits.bodyBytes_) +
+             std::string(limits.bodyBytes_ - 1, 'b'));
+  crowd.Check();
+}
+
+// Guards against a budget that counts less than what is allocated.
+BOOST_AUTO_TEST_CASE(TakesWhatTheBudgetCounts)
+{
+  Crowd crowd(Answers(4), { 400, 2870, 4 * kMebi });
+  const std::uint64_t before = crowd.process_.Memory("VmRSS:");
+  crowd.Send(InChunks(4 * kMebi, kLargeChunk), kCountedClients);
+  crowd.Settle();
+  const auto grown =
+    static_cast<double>(crowd.process_.Memory("VmRSS:") - before);
+  const double counted =
+    crowd.process_.Metric("crocusslip_held_bytes{holder=\"body\"}");
+  BOOST_TEST(counted >= kCountedClients * 4.0 * kMebi);
+  BOOST_TEST(grown < counted * kOverhead + kFixedOverhead);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(AnotherCrowd)
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -1,6 +1,7 @@
 #include "transport/HttpLink.hpp"
 
 #include "core/Log.hpp"
+#include "transport/CancelTimer.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
@@ -33,8 +34,6 @@
 constexpr int kUserTimeoutMs = 5000;
 /// Time in which a request is expected on a new connection.
 constexpr std::chrono::milliseconds kFirstRequestTime{ 200 };
-/// Time after a cancelled read in which it must have ended.
-constexpr std::chrono::milliseconds kLostCancelTime{ 500 };
 /// Time in which a closing peer may take the last bytes.
 constexpr std::chrono::milliseconds kLinger{ 500 };
 
@@ -51,42 +50,6 @@
                sizeof(timeout));
 }
 
-/// Cancels what is waited for on a socket after some time. Unlike the timeout
-/// of tcp_stream it leaves the connection open.
-class CancelTimer
-{
-public:
-  CancelTimer(beast::tcp_stream& aStream, std::chrono::nanoseconds aTime)
-    : timer_(aStream.get_executor())
-  {
-    timer_.expires_after(
-      std::chrono::duration_cast<asio::steady_timer::duration>(aTime));
-    timer_.async_wait(
-      [&aStream, wait = wait_](const boost::system::error_code& aError) {
-        if (!aError && !wait->over_) {
-          wait->expired_ = true;
-          boost::system::error_code ignored;
-          aStream.socket().cancel(ignored);
-        }
-      });
-  }
-  // The timer's handler may run after the wait is over.
-  ~CancelTimer() { wait_->over_ = true; }
-  CancelTimer(const CancelTimer&) = delete;
-  CancelTimer& operator=(const CancelTimer&) = delete;
-
-  bool Expired() const { return wait_->expired_; }
-
-private:
-  struct Wait
-  {
-    bool over_ = false;
-    bool expired_ = false;
-  };
-  const std::shared_ptr<Wait> wait_ = std::make_shared<Wait>();
-  asio::steady_timer timer_;
-};
-
 std::optional<int>
 Peek(Tcp::socket& aSocket)
 {
@@ -131,7 +94,9 @@
 }
 
 Task<ReadResult>
-CallerLink::Read(HttpRequest& aRequest, const LinkLimits& aLimits)
+CallerLink::Read(HttpRequest& aRequest,
+                 const LinkLimits& aLimits,
+                 ReadRoom* aRoom)
 {
   limits_ = aLimits;
   buffer_.max_size(kReadAheadBytes + limits_.headerBytes_);
@@ -139,6 +104,7 @@
   while (buffer_.size() == 0) {
     stream_.expires_after(first_ ? limits_.headerTime_ : limits_.idleTime_);
     idle_ = true;
+    idleSince_ = std::chrono::steady_clock::now();
     const std::size_t got = co_await stream_.async_read_some(
       buffer_.prepare(kReadBytes), Catch(error));
     idle_ = false;
@@ -151,62 +117,19 @@
   }
   first_ = false;
   busy_ = true;
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(limits_.headerBytes_);
-  parser.body_limit(limits_.bodyBytes_);
-  // The read consists of several operations; a cancel between two of them is
-  // lost, and the timeout of the stream ends it then.
-  stream_.expires_after(limits_.headerTime_ + kLostCancelTime);
-  {
-    const CancelTimer timer(stream_, limits_.headerTime_);
-    co_await http::async_read_header(stream_, buffer_, parser, Catch(error));
-    if (error && (timer.Expired() || error == beast::error::timeout)) {
-      co_return ReadResult::HeaderTimeout;
-    }
-  }
-  if (error == http::error::header_limit) {
-    co_return ReadResult::HeaderTooLarge;
-  }
-  if (error == http::error::body_limit) {
-    co_return ReadResult::BodyTooLarge;
-  }
-  if (error) {
-    const bool syntax =
-      error.category() ==
-      http::make_error_code(http::error::bad_method).category();
-    const bool partial = error == http::error::partial_message ||
-                         error == http::error::end_of_stream;
-    co_return syntax && !partial ? ReadResult::Malformed : ReadResult::Broken;
-  }
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    if (!co_await WriteRaw(kContinue)) {
-      co_return ReadResult::Broken;
-    }
-  }
-  while (!parser.is_done()) {
-    stream_.expires_after(limits_.stallTime_);
-    co_await http::async_read_some(stream_, buffer_, parser, Catch(error));
-    if (error == http::error::body_limit) {
-      co_return ReadResult::BodyTooLarge;
-    }
-    if (error == http::error::buffer_overflow) {
-      co_return ReadResult::Malformed;
-    }
-    if (error == http::error::partial_message ||
-        error == beast::error::timeout) {
-      co_return ReadResult::Broken;
-    }
-    if (error) {
-      const bool syntax =
-        error.category() ==
-        http::make_error_code(http::error::bad_method).category();
-      co_return syntax ? ReadResult::Malformed : ReadResult::Broken;
-    }
-  }
-  stream_.expires_never();
-  aRequest = parser.release();
-  co_return ReadResult::Complete;
+  RequestReader reader(stream_, buffer_, limits_, aRoom);
+  reader_ = &reader;
+  const ReadResult result = co_await reader.Read(aRequest);
+  reader_ = nullptr;
+  co_return result;
+}
+
+std::string
+CallerLink::PeerAddress() const
+{
+  boost::system::error_code error;
+  const auto peer = stream_.socket().remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string();
 }
 
 Task<bool>
@@ -216,6 +139,7 @@
   stream_.expires_after(limits_.stallTime_);
   co_await http::async_write(stream_, aResponse, Catch(error));
   stream_.expires_never();
+  writeTimedOut_ = error == beast::error::timeout;
   co_return !error;
 }
 
@@ -230,6 +154,7 @@
     aBytes.remove_prefix(sent);
   }
   stream_.expires_never();
+  writeTimedOut_ = error == beast::error::timeout;
   co_return !error;
 }
 
@@ -303,6 +228,19 @@
          std::chrono::steady_clock::now() - acceptedAt_ < kFirstRequestTime;
 }
 
+std::optional<std::chrono::steady_clock::time_point>
+CallerLink::IdleSince() const
+{
+  return idle_ && !IsNew() ? std::optional(idleSince_) : std::nullopt;
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+CallerLink::ReadingSince() const
+{
+  return reader_ == nullptr ? std::nullopt
+                            : std::optional(reader_->ProgressAt());
+}
+
 void
 CallerLink::EndIdle()
 {
@@ -344,8 +282,10 @@
   co_return !error;
 }
 
+template<typename Body>
 Task<bool>
-ServerLink::Send(const HttpRequest& aRequest, std::chrono::nanoseconds aTimeout)
+ServerLink::SendMessage(const http::request<Body>& aRequest,
+                        std::chrono::nanoseconds aTimeout)
 {
   parser_.reset();
   boost::system::error_code error;
@@ -355,6 +295,19 @@
   co_return Note(error);
 }
 
+Task<bool>
+ServerLink::Send(const HttpRequest& aRequest, std::chrono::nanoseconds aTimeout)
+{
+  return SendMessage(aRequest, aTimeout);
+}
+
+Task<bool>
+ServerLink::Send(const ForwardedRequest& aRequest,
+                 std::chrono::nanoseconds aTimeout)
+{
+  return SendMessage(aRequest, aTimeout);
+}
+
 Task<bool>
 ServerLink::AwaitData(std::chrono::nanoseconds aTimeout)
 {
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -2,12 +2,14 @@
 
 #include "core/Error.hpp"
 #include "transport/Coroutine.hpp"
+#include "transport/RequestReader.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
@@ -22,35 +24,8 @@
 /// library of HttpServer and HttpClient does not give (docs/platform.md).
 namespace crocusslip::transport {
 
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using Tcp = asio::ip::tcp;
 
-struct LinkLimits
-{
-  std::uint32_t headerBytes_ = 16 * 1024;
-  std::uint64_t bodyBytes_ = 4ULL * 1024 * 1024;
-  std::chrono::milliseconds headerTime_{ 3000 };
-  std::chrono::milliseconds idleTime_{ 15'000 };
-  /// Longest time for one write, and between two reads of a body.
-  std::chrono::milliseconds stallTime_{ 10'000 };
-};
-
-using HttpRequest = http::request<http::string_body>;
-
-enum class ReadResult : std::uint8_t
-{
-  Complete,
-  /// The peer closed or was silent before the first byte of a message.
-  Closed,
-  HeaderTimeout,
-  HeaderTooLarge,
-  BodyTooLarge,
-  Malformed,
-  /// The connection broke within a message.
-  Broken,
-};
-
 /// A caller's connection.
 class CallerLink
 {
@@ -59,14 +34,21 @@
   CallerLink(const CallerLink&) = delete;
   CallerLink& operator=(const CallerLink&) = delete;
 
-  /// Reads a whole request. aLimits may have changed since the last one.
-  Task<ReadResult> Read(HttpRequest& aRequest, const LinkLimits& aLimits);
+  /// Reads a whole request. aLimits may have changed since the last one. aRoom
+  /// bounds what it takes up; null: no bound.
+  Task<ReadResult> Read(HttpRequest& aRequest,
+                        const LinkLimits& aLimits,
+                        ReadRoom* aRoom = nullptr);
+  /// Address of the caller, without the port; empty when it has gone.
+  std::string PeerAddress() const;
   /// Whether a request is being read or was read and not answered yet.
   bool Busy() const { return busy_; }
   void SetBusy(bool aBusy) { busy_ = aBusy; }
   Task<bool> Write(http::response<http::string_body>& aResponse);
   /// Writes bytes as they are.
   Task<bool> WriteRaw(std::string_view aBytes);
+  /// The last write ended because the caller did not take the bytes in time.
+  bool WriteTimedOut() const { return writeTimedOut_; }
   /// Waits until the caller closes its connection. Returns false when the
   /// wait was cancelled or the caller has sent more.
   Task<bool> AwaitClose();
@@ -83,6 +65,10 @@
   bool HasUnread();
   /// Accepted a moment ago; its first request may be on its way.
   bool IsNew() const;
+  /// Since when it waits for a request; nothing when it doesn't or is new.
+  std::optional<std::chrono::steady_clock::time_point> IdleSince() const;
+  /// When the request that is being read has last made progress.
+  std::optional<std::chrono::steady_clock::time_point> ReadingSince() const;
   /// Ends a wait for the next request, unless one has begun to arrive or the
   /// connection is new: Read then returns Closed.
   void EndIdle();
@@ -93,8 +79,12 @@
   LinkLimits limits_;
   bool busy_ = false;
   bool first_ = true;
+  bool writeTimedOut_ = false;
   /// Waits for the first bytes of a request.
   bool idle_ = false;
+  std::chrono::steady_clock::time_point idleSince_;
+  /// Set while a request is being read.
+  const RequestReader* reader_ = nullptr;
   const std::chrono::steady_clock::time_point acceptedAt_ =
     std::chrono::steady_clock::now();
 };
@@ -107,6 +97,9 @@
   bool keepAlive_ = false;
 };
 
+/// A request whose body belongs to another one.
+using ForwardedRequest = http::request<http::span_body<const char>>;
+
 /// A connection to a backend server. Serves one request at a time.
 class ServerLink
 {
@@ -120,6 +113,8 @@
   /// False when the request may have left in part.
   Task<bool> Send(const HttpRequest& aRequest,
                   std::chrono::nanoseconds aTimeout);
+  Task<bool> Send(const ForwardedRequest& aRequest,
+                  std::chrono::nanoseconds aTimeout);
   /// Waits until something arrives or the connection ends. False when nothing
   /// did in this time; the connection is as before then.
   Task<bool> AwaitData(std::chrono::nanoseconds aTimeout);
@@ -147,6 +142,9 @@
 private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  template<typename Body>
+  Task<bool> SendMessage(const http::request<Body>& aRequest,
+                         std::chrono::nanoseconds aTimeout);
   bool Note(const boost::system::error_code& aError);
 
   beast::tcp_stream stream_;
