--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -101,14 +101,15 @@
 
   void AddServer(const std::string& aId,
                  std::uint16_t aPort,
-                 const std::string& aService = "desk")
+                 const std::string& aService = "desk",
+                 std::int32_t aSlots = kServerSlots)
   {
     const std::lock_guard lock(mutex_);
     wire::ServerRow row;
     row.server = aId;
     row.address = "127.0.0.1:" + std::to_string(aPort);
     row.serviceName = aService;
-    row.slots = kServerSlots;
+    row.slots = aSlots;
     reply_.rows.push_back(row);
   }
 
@@ -212,6 +213,7 @@
 private:
   std::mutex mutex_;
   wire::SyncReply reply_;
+  std::string routes_ = "routes";
   std::vector<wire::Crash> crashes_;
   std::set<std::int64_t> startedParts_;
   std::vector<std::int64_t> reportedHeldParts_;
