--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -223,7 +223,6 @@
   int crashReportsToFail_ = 0;
   std::int64_t routesVersion_ = 1;
   std::int64_t reportedRoutes_ = 0;
-  std::string routes_ = "routes";
   /// Differs from the epoch, which stays while a new leader reads the list.
   std::int64_t crashEpoch_ = 2;
   bool isLeader_ = true;
