--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -124,6 +124,7 @@
   listed_ = false;
   routesVersion_ = 0;
   table_ = {};
+  lines_ = {};
   rateGrants_ = {};
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
@@ -258,6 +259,7 @@
   const core::MonotonicTime now = clock_.Now();
   TakeRoutes();
   table_.Expire(now);
+  lines_.Expire(now);
   guard_.Expire(now);
   placement_.OnDemand(table_.TakeDemand(), now);
   auto active = table_.ActiveModels();
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/FleetLines.hpp"
 #include "admission/QuotaBound.hpp"
 #include "control/BackendPort.hpp"
 #include "control/GroupHost.hpp"
@@ -147,6 +148,11 @@
             wire::SyncReply& aReply,
             core::MonotonicTime aNow);
   /// Adds the rows of servers that the host has not seen.
+  /// Takes what waits at the host.
+  void TakeLines(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
+  void FillLines(const core::HostId& aHost,
+                 wire::SyncReply& aReply,
+                 core::MonotonicTime aNow) const;
   void FillRows(const core::HostId& aHost,
                 std::uint64_t aSeen,
                 wire::SyncReply& aReply);
@@ -201,6 +207,8 @@
   std::set<core::HostId> routesTaken_;
   bool routesTakenByAll_ = false;
   coordination::FleetTable table_;
+  /// Requests that wait, by model.
+  admission::FleetLines lines_;
   coordination::RateGrants rateGrants_;
   coordination::ModelPlacement placement_;
   /// Kept over terms.
--- a/control/FleetControllerHosts.cpp
+++ b/control/FleetControllerHosts.cpp
@@ -178,6 +178,42 @@
     out.weight_ = std::max(0.0, use.worth);
   }
   table_.OnDemand(host, demand, aNow);
+  TakeLines(aRequest, aNow);
+}
+
+void
+FleetController::TakeLines(const wire::SyncRequest& aRequest,
+                           core::MonotonicTime aNow)
+{
+  std::map<core::ModelName, admission::HostLine> lines;
+  for (const wire::ModelUse& use : aRequest.models) {
+    admission::HostLine& out = lines[core::ModelName(use.model)];
+    const std::size_t ranks =
+      std::min(use.waitingByRank.size(), admission::kLineRanks);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+      out.line_.AddWaiting(
+        static_cast<std::uint32_t>(rank),
+        static_cast<std::uint32_t>(std::max(0, use.waitingByRank[rank])));
+    }
+    out.line_.inFlight_ = static_cast<std::uint32_t>(std::max(0, use.inFlight));
+    out.begun_ = static_cast<std::uint32_t>(std::max(0, use.begun));
+  }
+  lines_.OnReport(core::HostId(aRequest.host), std::move(lines), aNow);
+}
+
+void
+FleetController::FillLines(const core::HostId& aHost,
+                           wire::SyncReply& aReply,
+                           core::MonotonicTime aNow) const
+{
+  for (const auto& [model, line] : lines_.LinesFor(aHost, aNow)) {
+    wire::ModelLine& out = aReply.lines.emplace_back();
+    out.model = model.Value();
+    out.waitingByRank.assign(line.waiting_.begin(), line.waiting_.end());
+    out.inFlight = static_cast<std::int32_t>(line.inFlight_);
+    out.begunMilli =
+      static_cast<std::int32_t>(line.begunPerSecond_ * kRateUnits);
+  }
 }
 
 void
@@ -399,6 +435,7 @@
              aReply);
   }
   FillRoutes(aRequest, aReply);
+  FillLines(core::HostId(aRequest.host), aReply, aNow);
   aReply.members = group_.MemberAddresses();
   aReply.hosts = static_cast<std::int32_t>(table_.HostCount());
   for (const auto& suspect : guard_.Suspected(kToldServersLost, aNow)) {
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -91,6 +91,9 @@
   /// limit is waived and more slots may be used, as a slow server is better
   /// than none.
   bool overdue_ = false;
+  /// More urgent requests that wait for the model at other hosts. Free places
+  /// at servers that name their pace are left to them.
+  std::uint32_t moreUrgentElsewhere_ = 0;
   /// Servers that were already tried.
   std::set<core::ServerId> tried_;
 };
@@ -220,6 +223,9 @@
   /// Returns the usage of servers that have any; resets outcomes, prompt times
   /// and missing models.
   std::map<core::ServerId, Usage> TakeUsage();
+  /// Whether all ready servers with the model name their pace, and there is
+  /// one.
+  bool HoldersNamePace(const BackendRequirements& aRequirements) const;
   /// Requests of all hosts in flight on a server.
   std::uint32_t LoadOf(const core::ServerId& aServer) const;
   const BackendRow* Find(const core::ServerId& aServer) const;
--- a/coordination/BackendViewEstimates.cpp
+++ b/coordination/BackendViewEstimates.cpp
@@ -13,6 +13,9 @@
 /// Prefill time per prompt token of a server whose time is not known.
 constexpr std::chrono::nanoseconds kUsualTokenTime{ 50'000 };
 constexpr double kMinSlowness = 0.25;
+/// Largest share of a server's places that is kept for more urgent requests of
+/// other hosts.
+constexpr double kMaxKeptShare = 0.5;
 
 } // namespace
 
@@ -121,8 +124,31 @@
   }
   const routing::ServerCandidate candidate =
     MakeCandidate(aServer, aRequirements, aNow);
+  // The less urgent never leave more than a share of the places: what others
+  // wait for may be something else.
+  const double kept = std::min<double>(aRequirements.moreUrgentElsewhere_,
+                                       kMaxKeptShare * candidate.usableSlots_);
   // Half a request of an estimate is not one that is there.
-  return candidate.load_.inFlight_ + 0.5 < candidate.usableSlots_;
+  return candidate.load_.inFlight_ + 0.5 + kept < candidate.usableSlots_;
+}
+
+bool
+BackendView::HoldersNamePace(const BackendRequirements& aRequirements) const
+{
+  bool any = false;
+  for (const auto& [id, server] : servers_) {
+    const BackendRow& row = server.row_;
+    if (row.service_ != aRequirements.service_ ||
+        row.state_ != BackendState::Ready ||
+        !row.models_.contains(aRequirements.model_)) {
+      continue;
+    }
+    if (!UsesEstimate(server)) {
+      return false;
+    }
+    any = true;
+  }
+  return any;
 }
 
 const BackendView::Option&
--- a/coordination/DispatchQueue.cpp
+++ b/coordination/DispatchQueue.cpp
@@ -58,6 +58,15 @@
   return grants;
 }
 
+void
+DispatchQueue::SetMoreUrgentElsewhere(
+  const std::function<std::uint32_t(const QueuedRequest&)>& aCount)
+{
+  for (auto& [id, request] : waiting_) {
+    request.need_.moreUrgentElsewhere_ = aCount(request);
+  }
+}
+
 std::map<core::ServerId, std::uint32_t>
 DispatchQueue::TakeWantedGrants()
 {
--- a/coordination/DispatchQueue.hpp
+++ b/coordination/DispatchQueue.hpp
@@ -4,6 +4,7 @@
 #include "core/Clock.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -43,6 +44,10 @@
   std::vector<Grant> Assign(BackendView& aView,
                             core::MonotonicTime aNow,
                             core::Random& aRandom);
+  /// Asks aCount for the more urgent requests that wait elsewhere for the model
+  /// of each waiting request.
+  void SetMoreUrgentElsewhere(
+    const std::function<std::uint32_t(const QueuedRequest&)>& aCount);
   /// Grants that the last Assign lacked: one for each waiting request, and one
   /// for each server that would have suited a request better than its own since
   /// the last call.
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/LineTable.hpp"
 #include "coordination/BackendView.hpp"
 #include "coordination/CrashGuard.hpp"
 #include "coordination/DispatchQueue.hpp"
@@ -108,6 +109,11 @@
   void ApplyServerRows(const wire::SyncReply& aReply);
   void ApplyServerRow(const wire::ServerRow& aRow);
   void ApplySuspects(const wire::SyncReply& aReply);
+  void ApplyLines(const wire::SyncReply& aReply);
+  /// Adds what waits here for models whose servers name their pace.
+  void ReportLines(std::map<core::ModelName, wire::ModelUse>& aModels);
+  /// A request for the model got a place at a server.
+  void RecordBegun(const core::ModelName& aModel);
   /// Records that a server's connection broke while it ran the request. aParts
   /// are the shared parts of its prompt if no event had come yet.
   void RecordBrokenConnection(
@@ -154,6 +160,9 @@
   std::shared_ptr<const coordination::RouteTable> routes_;
   coordination::BackendView view_;
   LoadReader loadReader_;
+  admission::LineTable lines_;
+  /// Requests that got a place since the last report.
+  std::map<core::ModelName, std::uint32_t> begun_;
   std::map<coordination::ServiceName, coordination::SharedRetryBudget> budgets_;
   /// Number of entry hosts, which share the retry budget and the connection
   /// limits of the servers; 0: not known yet.
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -601,6 +601,9 @@
     // failure.
     gateway_.view_.OnPrefillDone(choice_.server_, requirements_.promptTokens_);
   }
+  if (aOutcome == SendOutcome::Served && !requirements_.model_.Empty()) {
+    gateway_.lines_.OnRun(gateway_.clock_.Now() - sentAt_);
+  }
   gateway_.view_.OnFinish(
     choice_.server_, requirements_.tokens_, aOutcome, gateway_.clock_.Now());
   gateway_.AssignSlots();
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -72,6 +72,12 @@
   /// Latest useful time for a server slot; nullopt when waiting longer is
   /// pointless.
   std::optional<core::MonotonicTime> SlotDeadline() const;
+  /// Whether the request can begin within aBearable, by the line ahead of it at
+  /// all hosts.
+  admission::BeginVerdict JudgeBegin(core::Duration aBearable) const;
+  void LogVerdict(const admission::BeginVerdict& aVerdict) const;
+  /// Latest useful time for a server slot, whatever the line.
+  core::MonotonicTime LatestSlotTime() const;
   transport::Task<AttemptResult> Attempt();
   transport::Task<AttemptResult> Exchange(transport::ServerLink& aServer);
   transport::Task<AttemptResult> OnAnswer(transport::ServerLink& aServer,
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -14,24 +14,18 @@
 
 /// How long a request waits when no server of its service is known.
 constexpr std::chrono::milliseconds kNoServerTimeout{ 1000 };
+/// Time after its arrival in which a request is refused for the line ahead: of
+/// what waits elsewhere later, most came after it.
+constexpr std::chrono::seconds kJudgeTime{ 1 };
 /// Time within which the control group decides whether to load a model that a
 /// request needs and tells the host.
 constexpr std::chrono::milliseconds kLoadDecisionTime{ 500 };
 
 } // namespace
 
-std::optional<core::MonotonicTime>
-GatewayCall::SlotDeadline() const
+core::MonotonicTime
+GatewayCall::LatestSlotTime() const
 {
-  const core::MonotonicTime now = gateway_.clock_.Now();
-  if (HeldBack()) {
-    return std::nullopt;
-  }
-  const auto choiceStatus =
-    gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
-  if (choiceStatus == BackendChoiceStatus::NoServer && !streaming_) {
-    return std::min(deadline_ - kPlainReserve, now + kNoServerTimeout);
-  }
   core::MonotonicTime latest = deadline_ - kPlainReserve;
   if (route_->kind_ == RequestKind::Stream) {
     // The caller disconnects when the next event takes longer than its idle
@@ -47,6 +41,22 @@
     latest = std::min(
       latest, streaming_ ? gateway_.stopTime_ : gateway_.drainSlotDeadline_);
   }
+  return latest;
+}
+
+std::optional<core::MonotonicTime>
+GatewayCall::SlotDeadline() const
+{
+  const core::MonotonicTime now = gateway_.clock_.Now();
+  if (HeldBack()) {
+    return std::nullopt;
+  }
+  const auto choiceStatus =
+    gateway_.view_.Choose(requirements_, now, gateway_.random_).status_;
+  if (choiceStatus == BackendChoiceStatus::NoServer && !streaming_) {
+    return std::min(deadline_ - kPlainReserve, now + kNoServerTimeout);
+  }
+  const core::MonotonicTime latest = LatestSlotTime();
   const auto readyAt = gateway_.ExpectedReadyTime(requirements_.model_);
   const bool tooLate = choiceStatus == BackendChoiceStatus::NoModel &&
                        readyAt && *readyAt > latest;
@@ -58,7 +68,10 @@
     choiceStatus == BackendChoiceStatus::NoModel && !readyAt &&
     coordination::SplitModel(requirements_.model_).adapter_.empty() &&
     now >= arrivedAt_ + kLoadDecisionTime;
-  if (tooLate || leaveToOtherHost || latest <= now) {
+  const bool lineTooLong = choiceStatus == BackendChoiceStatus::Full &&
+                           now <= arrivedAt_ + kJudgeTime &&
+                           !JudgeBegin(latest - now).canBegin_;
+  if (tooLate || leaveToOtherHost || lineTooLong || latest <= now) {
     return std::nullopt;
   }
   return latest;
@@ -85,6 +98,8 @@
   if (HeldBack() || givenUp_) {
     co_return false;
   }
+  requirements_.moreUrgentElsewhere_ =
+    gateway_.lines_.MoreUrgentElsewhere(requirements_.model_, rank_, now);
   queueId_ = gateway_.queue_.Add({ requirements_,
                                    rank_,
                                    arrivedAt_,
@@ -129,6 +144,8 @@
   choice_ = aChoice;
   hasSlot_ = true;
   queueTime_ = gateway_.clock_.Now() - arrivedAt_;
+  gateway_.RecordBegun(requirements_.model_);
+  requirements_.moreUrgentElsewhere_ = 0;
   loadAtAssignment_ = gateway_.view_.LoadOf(aChoice.server_);
   timer_.cancel();
 }
@@ -155,6 +172,14 @@
     }
   } else if (choiceStatus == BackendChoiceStatus::Full) {
     reason = GatewayRefusal::Full;
+    const admission::BeginVerdict verdict =
+      JudgeBegin(LatestSlotTime() - arrivedAt_);
+    if (!verdict.canBegin_) {
+      retryAfter = verdict.retryAfter_;
+      LogVerdict(verdict);
+    } else if (verdict.expectedWait_ > core::Duration(0)) {
+      retryAfter = std::max(retryAfter, verdict.expectedWait_);
+    }
   }
   if (gateway_.draining_) {
     reason = GatewayRefusal::Draining;
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -167,6 +167,7 @@
     // The waiting calls' summed weight; priority 0 is the most urgent.
     out.worth += 1.0 / (1.0 + waiting.priority_);
   }
+  ReportLines(models);
   for (auto& [name, use] : models) {
     use.model = name.Value();
     request.models.push_back(std::move(use));
@@ -222,6 +223,7 @@
                    static_cast<std::uint32_t>(std::max(0, grant.requests)),
                    now);
   }
+  ApplyLines(aReply);
   expectedReady_.clear();
   for (const wire::ComingModel& model : aReply.coming) {
     expectedReady_[core::ModelName(model.model)] =
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -981,6 +981,14 @@
 void ModelUse::__set_worth(const double val) {
   this->worth = val;
 }
+
+void ModelUse::__set_waitingByRank(const std::vector<int32_t> & val) {
+  this->waitingByRank = val;
+}
+
+void ModelUse::__set_begun(const int32_t val) {
+  this->begun = val;
+}
 std::ostream& operator<<(std::ostream& out, const ModelUse& obj)
 {
   obj.printTo(out);
@@ -1065,6 +1073,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waitingByRank.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->waitingByRank.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += iprot->readI32(this->waitingByRank[_i22]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waitingByRank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1110,6 +1146,22 @@
   xfer += oprot->writeDouble(this->worth);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waitingByRank", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingByRank.size()));
+    std::vector<int32_t> ::const_iterator _iter23;
+    for (_iter23 = this->waitingByRank.begin(); _iter23 != this->waitingByRank.end(); ++_iter23)
+    {
+      xfer += oprot->writeI32((*_iter23));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->begun);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1124,28 +1176,34 @@
   swap(a.urgency, b.urgency);
   swap(a.tokens, b.tokens);
   swap(a.worth, b.worth);
+  swap(a.waitingByRank, b.waitingByRank);
+  swap(a.begun, b.begun);
   swap(a.__isset, b.__isset);
 }
 
-ModelUse::ModelUse(const ModelUse& other18) {
-  model = other18.model;
-  waiting = other18.waiting;
-  inFlight = other18.inFlight;
-  arrivals = other18.arrivals;
-  urgency = other18.urgency;
-  tokens = other18.tokens;
-  worth = other18.worth;
-  __isset = other18.__isset;
-}
-ModelUse& ModelUse::operator=(const ModelUse& other19) {
-  model = other19.model;
-  waiting = other19.waiting;
-  inFlight = other19.inFlight;
-  arrivals = other19.arrivals;
-  urgency = other19.urgency;
-  tokens = other19.tokens;
-  worth = other19.worth;
-  __isset = other19.__isset;
+ModelUse::ModelUse(const ModelUse& other24) {
+  model = other24.model;
+  waiting = other24.waiting;
+  inFlight = other24.inFlight;
+  arrivals = other24.arrivals;
+  urgency = other24.urgency;
+  tokens = other24.tokens;
+  worth = other24.worth;
+  waitingByRank = other24.waitingByRank;
+  begun = other24.begun;
+  __isset = other24.__isset;
+}
+ModelUse& ModelUse::operator=(const ModelUse& other25) {
+  model = other25.model;
+  waiting = other25.waiting;
+  inFlight = other25.inFlight;
+  arrivals = other25.arrivals;
+  urgency = other25.urgency;
+  tokens = other25.tokens;
+  worth = other25.worth;
+  waitingByRank = other25.waitingByRank;
+  begun = other25.begun;
+  __isset = other25.__isset;
   return *this;
 }
 void ModelUse::printTo(std::ostream& out) const {
@@ -1158,6 +1216,8 @@
   out << ", " << "urgency=" << to_string(urgency);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "worth=" << to_string(worth);
+  out << ", " << "waitingByRank=" << to_string(waitingByRank);
+  out << ", " << "begun=" << to_string(begun);
   out << ")";
 }
 
@@ -1254,15 +1314,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Fingerprint::Fingerprint(const Fingerprint& other20) noexcept {
-  high = other20.high;
-  low = other20.low;
-  __isset = other20.__isset;
+Fingerprint::Fingerprint(const Fingerprint& other26) noexcept {
+  high = other26.high;
+  low = other26.low;
+  __isset = other26.__isset;
 }
-Fingerprint& Fingerprint::operator=(const Fingerprint& other21) noexcept {
-  high = other21.high;
-  low = other21.low;
-  __isset = other21.__isset;
+Fingerprint& Fingerprint::operator=(const Fingerprint& other27) noexcept {
+  high = other27.high;
+  low = other27.low;
+  __isset = other27.__isset;
   return *this;
 }
 void Fingerprint::printTo(std::ostream& out) const {
@@ -1341,14 +1401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->parts.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->parts.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += iprot->readI64(this->parts[_i26]);
+              xfer += iprot->readI64(this->parts[_i32]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1393,10 +1453,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter27;
-    for (_iter27 = this->parts.begin(); _iter27 != this->parts.end(); ++_iter27)
+    std::vector<int64_t> ::const_iterator _iter33;
+    for (_iter33 = this->parts.begin(); _iter33 != this->parts.end(); ++_iter33)
     {
-      xfer += oprot->writeI64((*_iter27));
+      xfer += oprot->writeI64((*_iter33));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1420,19 +1480,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Crash::Crash(const Crash& other28) {
-  server = other28.server;
-  request = other28.request;
-  parts = other28.parts;
-  ageMs = other28.ageMs;
-  __isset = other28.__isset;
+Crash::Crash(const Crash& other34) {
+  server = other34.server;
+  request = other34.request;
+  parts = other34.parts;
+  ageMs = other34.ageMs;
+  __isset = other34.__isset;
 }
-Crash& Crash::operator=(const Crash& other29) {
-  server = other29.server;
-  request = other29.request;
-  parts = other29.parts;
-  ageMs = other29.ageMs;
-  __isset = other29.__isset;
+Crash& Crash::operator=(const Crash& other35) {
+  server = other35.server;
+  request = other35.request;
+  parts = other35.parts;
+  ageMs = other35.ageMs;
+  __isset = other35.__isset;
   return *this;
 }
 void Crash::printTo(std::ostream& out) const {
@@ -1538,15 +1598,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other30) noexcept {
-  request = other30.request;
-  servers = other30.servers;
-  __isset = other30.__isset;
+Suspect::Suspect(const Suspect& other36) noexcept {
+  request = other36.request;
+  servers = other36.servers;
+  __isset = other36.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other31) noexcept {
-  request = other31.request;
-  servers = other31.servers;
-  __isset = other31.__isset;
+Suspect& Suspect::operator=(const Suspect& other37) noexcept {
+  request = other37.request;
+  servers = other37.servers;
+  __isset = other37.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -1709,14 +1769,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->uses.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->uses.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->uses[_i36].read(iprot);
+              xfer += this->uses[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1729,14 +1789,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->models.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->models.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->models[_i41].read(iprot);
+              xfer += this->models[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1749,14 +1809,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->crashes.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->crashes.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->crashes[_i46].read(iprot);
+              xfer += this->crashes[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1777,14 +1837,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->completed.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->completed.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->completed[_i51].read(iprot);
+              xfer += this->completed[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1805,14 +1865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->startedParts.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->startedParts.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->startedParts.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += iprot->readI64(this->startedParts[_i56]);
+              xfer += iprot->readI64(this->startedParts[_i62]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1833,14 +1893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->heldParts.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->heldParts.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += iprot->readI64(this->heldParts[_i61]);
+              xfer += iprot->readI64(this->heldParts[_i67]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1861,14 +1921,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tenants.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->tenants.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->tenants.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->tenants[_i66].read(iprot);
+              xfer += this->tenants[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1921,10 +1981,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter67;
-    for (_iter67 = this->uses.begin(); _iter67 != this->uses.end(); ++_iter67)
+    std::vector<ServerUse> ::const_iterator _iter73;
+    for (_iter73 = this->uses.begin(); _iter73 != this->uses.end(); ++_iter73)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1933,10 +1993,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUse> ::const_iterator _iter68;
-    for (_iter68 = this->models.begin(); _iter68 != this->models.end(); ++_iter68)
+    std::vector<ModelUse> ::const_iterator _iter74;
+    for (_iter74 = this->models.begin(); _iter74 != this->models.end(); ++_iter74)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1945,10 +2005,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter69;
-    for (_iter69 = this->crashes.begin(); _iter69 != this->crashes.end(); ++_iter69)
+    std::vector<Crash> ::const_iterator _iter75;
+    for (_iter75 = this->crashes.begin(); _iter75 != this->crashes.end(); ++_iter75)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1961,10 +2021,10 @@
   xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completed.size()));
-    std::vector<Fingerprint> ::const_iterator _iter70;
-    for (_iter70 = this->completed.begin(); _iter70 != this->completed.end(); ++_iter70)
+    std::vector<Fingerprint> ::const_iterator _iter76;
+    for (_iter76 = this->completed.begin(); _iter76 != this->completed.end(); ++_iter76)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1977,10 +2037,10 @@
   xfer += oprot->writeFieldBegin("startedParts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->startedParts.size()));
-    std::vector<int64_t> ::const_iterator _iter71;
-    for (_iter71 = this->startedParts.begin(); _iter71 != this->startedParts.end(); ++_iter71)
+    std::vector<int64_t> ::const_iterator _iter77;
+    for (_iter77 = this->startedParts.begin(); _iter77 != this->startedParts.end(); ++_iter77)
     {
-      xfer += oprot->writeI64((*_iter71));
+      xfer += oprot->writeI64((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1993,10 +2053,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter72;
-    for (_iter72 = this->heldParts.begin(); _iter72 != this->heldParts.end(); ++_iter72)
+    std::vector<int64_t> ::const_iterator _iter78;
+    for (_iter78 = this->heldParts.begin(); _iter78 != this->heldParts.end(); ++_iter78)
     {
-      xfer += oprot->writeI64((*_iter72));
+      xfer += oprot->writeI64((*_iter78));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2009,10 +2069,10 @@
   xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
-    std::vector<TenantUse> ::const_iterator _iter73;
-    for (_iter73 = this->tenants.begin(); _iter73 != this->tenants.end(); ++_iter73)
+    std::vector<TenantUse> ::const_iterator _iter79;
+    for (_iter79 = this->tenants.begin(); _iter79 != this->tenants.end(); ++_iter79)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2045,45 +2105,45 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other74) {
-  host = other74.host;
-  failureDomain = other74.failureDomain;
-  instance = other74.instance;
-  epoch = other74.epoch;
-  seen = other74.seen;
-  routesVersion = other74.routesVersion;
-  uses = other74.uses;
-  models = other74.models;
-  crashes = other74.crashes;
-  waitMs = other74.waitMs;
-  completed = other74.completed;
-  takesCompressed = other74.takesCompressed;
-  startedParts = other74.startedParts;
-  starts = other74.starts;
-  heldParts = other74.heldParts;
-  takesTable = other74.takesTable;
-  tenants = other74.tenants;
-  __isset = other74.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other75) {
-  host = other75.host;
-  failureDomain = other75.failureDomain;
-  instance = other75.instance;
-  epoch = other75.epoch;
-  seen = other75.seen;
-  routesVersion = other75.routesVersion;
-  uses = other75.uses;
-  models = other75.models;
-  crashes = other75.crashes;
-  waitMs = other75.waitMs;
-  completed = other75.completed;
-  takesCompressed = other75.takesCompressed;
-  startedParts = other75.startedParts;
-  starts = other75.starts;
-  heldParts = other75.heldParts;
-  takesTable = other75.takesTable;
-  tenants = other75.tenants;
-  __isset = other75.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other80) {
+  host = other80.host;
+  failureDomain = other80.failureDomain;
+  instance = other80.instance;
+  epoch = other80.epoch;
+  seen = other80.seen;
+  routesVersion = other80.routesVersion;
+  uses = other80.uses;
+  models = other80.models;
+  crashes = other80.crashes;
+  waitMs = other80.waitMs;
+  completed = other80.completed;
+  takesCompressed = other80.takesCompressed;
+  startedParts = other80.startedParts;
+  starts = other80.starts;
+  heldParts = other80.heldParts;
+  takesTable = other80.takesTable;
+  tenants = other80.tenants;
+  __isset = other80.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other81) {
+  host = other81.host;
+  failureDomain = other81.failureDomain;
+  instance = other81.instance;
+  epoch = other81.epoch;
+  seen = other81.seen;
+  routesVersion = other81.routesVersion;
+  uses = other81.uses;
+  models = other81.models;
+  crashes = other81.crashes;
+  waitMs = other81.waitMs;
+  completed = other81.completed;
+  takesCompressed = other81.takesCompressed;
+  startedParts = other81.startedParts;
+  starts = other81.starts;
+  heldParts = other81.heldParts;
+  takesTable = other81.takesTable;
+  tenants = other81.tenants;
+  __isset = other81.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -2265,14 +2325,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->models.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->models.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readString(this->models[_i80]);
+              xfer += iprot->readString(this->models[_i86]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2309,14 +2369,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->coming.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->coming.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->coming[_i85]);
+              xfer += iprot->readString(this->coming[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2425,10 +2485,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->models.begin(); _iter86 != this->models.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter92;
+    for (_iter92 = this->models.begin(); _iter92 != this->models.end(); ++_iter92)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter92));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2449,10 +2509,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter87;
-    for (_iter87 = this->coming.begin(); _iter87 != this->coming.end(); ++_iter87)
+    std::vector<std::string> ::const_iterator _iter93;
+    for (_iter93 = this->coming.begin(); _iter93 != this->coming.end(); ++_iter93)
     {
-      xfer += oprot->writeString((*_iter87));
+      xfer += oprot->writeString((*_iter93));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2514,47 +2574,47 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRow::ServerRow(const ServerRow& other88) {
-  server = other88.server;
-  address = other88.address;
-  serviceName = other88.serviceName;
-  failureDomain = other88.failureDomain;
-  state = other88.state;
-  slots = other88.slots;
-  models = other88.models;
-  inFlight = other88.inFlight;
-  tokens = other88.tokens;
-  suspect = other88.suspect;
-  coming = other88.coming;
-  memoryTokens = other88.memoryTokens;
-  speedPercent = other88.speedPercent;
-  tokenNanos = other88.tokenNanos;
-  unreadTokens = other88.unreadTokens;
-  rateLimitMilli = other88.rateLimitMilli;
-  pacePercent = other88.pacePercent;
-  queued = other88.queued;
-  __isset = other88.__isset;
-}
-ServerRow& ServerRow::operator=(const ServerRow& other89) {
-  server = other89.server;
-  address = other89.address;
-  serviceName = other89.serviceName;
-  failureDomain = other89.failureDomain;
-  state = other89.state;
-  slots = other89.slots;
-  models = other89.models;
-  inFlight = other89.inFlight;
-  tokens = other89.tokens;
-  suspect = other89.suspect;
-  coming = other89.coming;
-  memoryTokens = other89.memoryTokens;
-  speedPercent = other89.speedPercent;
-  tokenNanos = other89.tokenNanos;
-  unreadTokens = other89.unreadTokens;
-  rateLimitMilli = other89.rateLimitMilli;
-  pacePercent = other89.pacePercent;
-  queued = other89.queued;
-  __isset = other89.__isset;
+ServerRow::ServerRow(const ServerRow& other94) {
+  server = other94.server;
+  address = other94.address;
+  serviceName = other94.serviceName;
+  failureDomain = other94.failureDomain;
+  state = other94.state;
+  slots = other94.slots;
+  models = other94.models;
+  inFlight = other94.inFlight;
+  tokens = other94.tokens;
+  suspect = other94.suspect;
+  coming = other94.coming;
+  memoryTokens = other94.memoryTokens;
+  speedPercent = other94.speedPercent;
+  tokenNanos = other94.tokenNanos;
+  unreadTokens = other94.unreadTokens;
+  rateLimitMilli = other94.rateLimitMilli;
+  pacePercent = other94.pacePercent;
+  queued = other94.queued;
+  __isset = other94.__isset;
+}
+ServerRow& ServerRow::operator=(const ServerRow& other95) {
+  server = other95.server;
+  address = other95.address;
+  serviceName = other95.serviceName;
+  failureDomain = other95.failureDomain;
+  state = other95.state;
+  slots = other95.slots;
+  models = other95.models;
+  inFlight = other95.inFlight;
+  tokens = other95.tokens;
+  suspect = other95.suspect;
+  coming = other95.coming;
+  memoryTokens = other95.memoryTokens;
+  speedPercent = other95.speedPercent;
+  tokenNanos = other95.tokenNanos;
+  unreadTokens = other95.unreadTokens;
+  rateLimitMilli = other95.rateLimitMilli;
+  pacePercent = other95.pacePercent;
+  queued = other95.queued;
+  __isset = other95.__isset;
   return *this;
 }
 void ServerRow::printTo(std::ostream& out) const {
@@ -2793,29 +2853,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLoad::ServerLoad(const ServerLoad& other90) {
-  server = other90.server;
-  inFlight = other90.inFlight;
-  tokens = other90.tokens;
-  suspect = other90.suspect;
-  speedPercent = other90.speedPercent;
-  tokenNanos = other90.tokenNanos;
-  unreadTokens = other90.unreadTokens;
-  pacePercent = other90.pacePercent;
-  queued = other90.queued;
-  __isset = other90.__isset;
-}
-ServerLoad& ServerLoad::operator=(const ServerLoad& other91) {
-  server = other91.server;
-  inFlight = other91.inFlight;
-  tokens = other91.tokens;
-  suspect = other91.suspect;
-  speedPercent = other91.speedPercent;
-  tokenNanos = other91.tokenNanos;
-  unreadTokens = other91.unreadTokens;
-  pacePercent = other91.pacePercent;
-  queued = other91.queued;
-  __isset = other91.__isset;
+ServerLoad::ServerLoad(const ServerLoad& other96) {
+  server = other96.server;
+  inFlight = other96.inFlight;
+  tokens = other96.tokens;
+  suspect = other96.suspect;
+  speedPercent = other96.speedPercent;
+  tokenNanos = other96.tokenNanos;
+  unreadTokens = other96.unreadTokens;
+  pacePercent = other96.pacePercent;
+  queued = other96.queued;
+  __isset = other96.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other97) {
+  server = other97.server;
+  inFlight = other97.inFlight;
+  tokens = other97.tokens;
+  suspect = other97.suspect;
+  speedPercent = other97.speedPercent;
+  tokenNanos = other97.tokenNanos;
+  unreadTokens = other97.unreadTokens;
+  pacePercent = other97.pacePercent;
+  queued = other97.queued;
+  __isset = other97.__isset;
   return *this;
 }
 void ServerLoad::printTo(std::ostream& out) const {
@@ -2873,14 +2933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->rows.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->rows.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->rows[_i96].read(iprot);
+              xfer += this->rows[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2909,10 +2969,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter97;
-    for (_iter97 = this->rows.begin(); _iter97 != this->rows.end(); ++_iter97)
+    std::vector<ServerRow> ::const_iterator _iter103;
+    for (_iter103 = this->rows.begin(); _iter103 != this->rows.end(); ++_iter103)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2929,13 +2989,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerTable::ServerTable(const ServerTable& other98) {
-  rows = other98.rows;
-  __isset = other98.__isset;
+ServerTable::ServerTable(const ServerTable& other104) {
+  rows = other104.rows;
+  __isset = other104.__isset;
 }
-ServerTable& ServerTable::operator=(const ServerTable& other99) {
-  rows = other99.rows;
-  __isset = other99.__isset;
+ServerTable& ServerTable::operator=(const ServerTable& other105) {
+  rows = other105.rows;
+  __isset = other105.__isset;
   return *this;
 }
 void ServerTable::printTo(std::ostream& out) const {
@@ -3038,15 +3098,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RateGrant::RateGrant(const RateGrant& other100) {
-  server = other100.server;
-  requests = other100.requests;
-  __isset = other100.__isset;
+RateGrant::RateGrant(const RateGrant& other106) {
+  server = other106.server;
+  requests = other106.requests;
+  __isset = other106.__isset;
 }
-RateGrant& RateGrant::operator=(const RateGrant& other101) {
-  server = other101.server;
-  requests = other101.requests;
-  __isset = other101.__isset;
+RateGrant& RateGrant::operator=(const RateGrant& other107) {
+  server = other107.server;
+  requests = other107.requests;
+  __isset = other107.__isset;
   return *this;
 }
 void RateGrant::printTo(std::ostream& out) const {
@@ -3058,6 +3118,178 @@
 }
 
 
+ModelLine::~ModelLine() noexcept {
+}
+
+
+void ModelLine::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void ModelLine::__set_waitingByRank(const std::vector<int32_t> & val) {
+  this->waitingByRank = val;
+}
+
+void ModelLine::__set_inFlight(const int32_t val) {
+  this->inFlight = val;
+}
+
+void ModelLine::__set_begunMilli(const int32_t val) {
+  this->begunMilli = val;
+}
+std::ostream& operator<<(std::ostream& out, const ModelLine& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ModelLine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waitingByRank.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->waitingByRank.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readI32(this->waitingByRank[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waitingByRank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->inFlight);
+          this->__isset.inFlight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->begunMilli);
+          this->__isset.begunMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ModelLine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ModelLine");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitingByRank", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingByRank.size()));
+    std::vector<int32_t> ::const_iterator _iter113;
+    for (_iter113 = this->waitingByRank.begin(); _iter113 != this->waitingByRank.end(); ++_iter113)
+    {
+      xfer += oprot->writeI32((*_iter113));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->inFlight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begunMilli", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->begunMilli);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ModelLine &a, ModelLine &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.waitingByRank, b.waitingByRank);
+  swap(a.inFlight, b.inFlight);
+  swap(a.begunMilli, b.begunMilli);
+  swap(a.__isset, b.__isset);
+}
+
+ModelLine::ModelLine(const ModelLine& other114) {
+  model = other114.model;
+  waitingByRank = other114.waitingByRank;
+  inFlight = other114.inFlight;
+  begunMilli = other114.begunMilli;
+  __isset = other114.__isset;
+}
+ModelLine& ModelLine::operator=(const ModelLine& other115) {
+  model = other115.model;
+  waitingByRank = other115.waitingByRank;
+  inFlight = other115.inFlight;
+  begunMilli = other115.begunMilli;
+  __isset = other115.__isset;
+  return *this;
+}
+void ModelLine::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ModelLine(";
+  out << "model=" << to_string(model);
+  out << ", " << "waitingByRank=" << to_string(waitingByRank);
+  out << ", " << "inFlight=" << to_string(inFlight);
+  out << ", " << "begunMilli=" << to_string(begunMilli);
+  out << ")";
+}
+
+
 ComingModel::~ComingModel() noexcept {
 }
 
@@ -3150,15 +3382,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other102) {
-  model = other102.model;
-  readyInMs = other102.readyInMs;
-  __isset = other102.__isset;
+ComingModel::ComingModel(const ComingModel& other116) {
+  model = other116.model;
+  readyInMs = other116.readyInMs;
+  __isset = other116.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other103) {
-  model = other103.model;
-  readyInMs = other103.readyInMs;
-  __isset = other103.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other117) {
+  model = other117.model;
+  readyInMs = other117.readyInMs;
+  __isset = other117.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -3257,6 +3489,10 @@
 void SyncReply::__set_tenants(const std::vector<TenantGrant> & val) {
   this->tenants = val;
 }
+
+void SyncReply::__set_lines(const std::vector<ModelLine> & val) {
+  this->lines = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncReply& obj)
 {
   obj.printTo(out);
@@ -3329,14 +3565,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->rows.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->rows.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->rows[_i108].read(iprot);
+              xfer += this->rows[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3365,14 +3601,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->members.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->members.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += iprot->readString(this->members[_i113]);
+              xfer += iprot->readString(this->members[_i127]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3393,14 +3629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->coming.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->coming.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->coming[_i118].read(iprot);
+              xfer += this->coming[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3413,14 +3649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->suspects.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->suspects.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->suspects[_i123].read(iprot);
+              xfer += this->suspects[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3433,14 +3669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->loads.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->loads.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->loads[_i128].read(iprot);
+              xfer += this->loads[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3469,14 +3705,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->heldParts.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->heldParts.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += iprot->readI64(this->heldParts[_i133]);
+              xfer += iprot->readI64(this->heldParts[_i147]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3497,14 +3733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->grants.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->grants.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->grants[_i138].read(iprot);
+              xfer += this->grants[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3533,14 +3769,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tenants.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->tenants.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->tenants.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->tenants[_i143].read(iprot);
+              xfer += this->tenants[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3549,6 +3785,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lines.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->lines.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += this->lines[_i162].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3589,10 +3845,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter144;
-    for (_iter144 = this->rows.begin(); _iter144 != this->rows.end(); ++_iter144)
+    std::vector<ServerRow> ::const_iterator _iter163;
+    for (_iter163 = this->rows.begin(); _iter163 != this->rows.end(); ++_iter163)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3609,10 +3865,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter145;
-    for (_iter145 = this->members.begin(); _iter145 != this->members.end(); ++_iter145)
+    std::vector<std::string> ::const_iterator _iter164;
+    for (_iter164 = this->members.begin(); _iter164 != this->members.end(); ++_iter164)
     {
-      xfer += oprot->writeString((*_iter145));
+      xfer += oprot->writeString((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3625,10 +3881,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter146;
-    for (_iter146 = this->coming.begin(); _iter146 != this->coming.end(); ++_iter146)
+    std::vector<ComingModel> ::const_iterator _iter165;
+    for (_iter165 = this->coming.begin(); _iter165 != this->coming.end(); ++_iter165)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3637,10 +3893,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter147;
-    for (_iter147 = this->suspects.begin(); _iter147 != this->suspects.end(); ++_iter147)
+    std::vector<Suspect> ::const_iterator _iter166;
+    for (_iter166 = this->suspects.begin(); _iter166 != this->suspects.end(); ++_iter166)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3649,10 +3905,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter148;
-    for (_iter148 = this->loads.begin(); _iter148 != this->loads.end(); ++_iter148)
+    std::vector<ServerLoad> ::const_iterator _iter167;
+    for (_iter167 = this->loads.begin(); _iter167 != this->loads.end(); ++_iter167)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3669,10 +3925,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter149;
-    for (_iter149 = this->heldParts.begin(); _iter149 != this->heldParts.end(); ++_iter149)
+    std::vector<int64_t> ::const_iterator _iter168;
+    for (_iter168 = this->heldParts.begin(); _iter168 != this->heldParts.end(); ++_iter168)
     {
-      xfer += oprot->writeI64((*_iter149));
+      xfer += oprot->writeI64((*_iter168));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3685,10 +3941,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<RateGrant> ::const_iterator _iter150;
-    for (_iter150 = this->grants.begin(); _iter150 != this->grants.end(); ++_iter150)
+    std::vector<RateGrant> ::const_iterator _iter169;
+    for (_iter169 = this->grants.begin(); _iter169 != this->grants.end(); ++_iter169)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3705,10 +3961,22 @@
   xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
-    std::vector<TenantGrant> ::const_iterator _iter151;
-    for (_iter151 = this->tenants.begin(); _iter151 != this->tenants.end(); ++_iter151)
+    std::vector<TenantGrant> ::const_iterator _iter170;
+    for (_iter170 = this->tenants.begin(); _iter170 != this->tenants.end(); ++_iter170)
+    {
+      xfer += (*_iter170).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lines", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lines.size()));
+    std::vector<ModelLine> ::const_iterator _iter171;
+    for (_iter171 = this->lines.begin(); _iter171 != this->lines.end(); ++_iter171)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3742,56 +4010,59 @@
   swap(a.compressedTable, b.compressedTable);
   swap(a.tableBytes, b.tableBytes);
   swap(a.tenants, b.tenants);
+  swap(a.lines, b.lines);
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other152) {
-  leader = other152.leader;
-  leaderAddress = other152.leaderAddress;
-  epoch = other152.epoch;
-  seen = other152.seen;
-  complete = other152.complete;
-  rows = other152.rows;
-  routesVersion = other152.routesVersion;
-  routes = other152.routes;
-  members = other152.members;
-  hosts = other152.hosts;
-  coming = other152.coming;
-  suspects = other152.suspects;
-  loads = other152.loads;
-  compressedRoutes = other152.compressedRoutes;
-  routesBytes = other152.routesBytes;
-  heldParts = other152.heldParts;
-  crashEpoch = other152.crashEpoch;
-  grants = other152.grants;
-  compressedTable = other152.compressedTable;
-  tableBytes = other152.tableBytes;
-  tenants = other152.tenants;
-  __isset = other152.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other153) {
-  leader = other153.leader;
-  leaderAddress = other153.leaderAddress;
-  epoch = other153.epoch;
-  seen = other153.seen;
-  complete = other153.complete;
-  rows = other153.rows;
-  routesVersion = other153.routesVersion;
-  routes = other153.routes;
-  members = other153.members;
-  hosts = other153.hosts;
-  coming = other153.coming;
-  suspects = other153.suspects;
-  loads = other153.loads;
-  compressedRoutes = other153.compressedRoutes;
-  routesBytes = other153.routesBytes;
-  heldParts = other153.heldParts;
-  crashEpoch = other153.crashEpoch;
-  grants = other153.grants;
-  compressedTable = other153.compressedTable;
-  tableBytes = other153.tableBytes;
-  tenants = other153.tenants;
-  __isset = other153.__isset;
+SyncReply::SyncReply(const SyncReply& other172) {
+  leader = other172.leader;
+  leaderAddress = other172.leaderAddress;
+  epoch = other172.epoch;
+  seen = other172.seen;
+  complete = other172.complete;
+  rows = other172.rows;
+  routesVersion = other172.routesVersion;
+  routes = other172.routes;
+  members = other172.members;
+  hosts = other172.hosts;
+  coming = other172.coming;
+  suspects = other172.suspects;
+  loads = other172.loads;
+  compressedRoutes = other172.compressedRoutes;
+  routesBytes = other172.routesBytes;
+  heldParts = other172.heldParts;
+  crashEpoch = other172.crashEpoch;
+  grants = other172.grants;
+  compressedTable = other172.compressedTable;
+  tableBytes = other172.tableBytes;
+  tenants = other172.tenants;
+  lines = other172.lines;
+  __isset = other172.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other173) {
+  leader = other173.leader;
+  leaderAddress = other173.leaderAddress;
+  epoch = other173.epoch;
+  seen = other173.seen;
+  complete = other173.complete;
+  rows = other173.rows;
+  routesVersion = other173.routesVersion;
+  routes = other173.routes;
+  members = other173.members;
+  hosts = other173.hosts;
+  coming = other173.coming;
+  suspects = other173.suspects;
+  loads = other173.loads;
+  compressedRoutes = other173.compressedRoutes;
+  routesBytes = other173.routesBytes;
+  heldParts = other173.heldParts;
+  crashEpoch = other173.crashEpoch;
+  grants = other173.grants;
+  compressedTable = other173.compressedTable;
+  tableBytes = other173.tableBytes;
+  tenants = other173.tenants;
+  lines = other173.lines;
+  __isset = other173.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -3818,6 +4089,7 @@
   out << ", " << "compressedTable=" << to_string(compressedTable);
   out << ", " << "tableBytes=" << to_string(tableBytes);
   out << ", " << "tenants=" << to_string(tenants);
+  out << ", " << "lines=" << to_string(lines);
   out << ")";
 }
 
@@ -3948,19 +4220,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other154) {
-  address = other154.address;
-  failureDomain = other154.failureDomain;
-  disk = other154.disk;
-  member = other154.member;
-  __isset = other154.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other174) {
+  address = other174.address;
+  failureDomain = other174.failureDomain;
+  disk = other174.disk;
+  member = other174.member;
+  __isset = other174.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other155) {
-  address = other155.address;
-  failureDomain = other155.failureDomain;
-  disk = other155.disk;
-  member = other155.member;
-  __isset = other155.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other175) {
+  address = other175.address;
+  failureDomain = other175.failureDomain;
+  disk = other175.disk;
+  member = other175.member;
+  __isset = other175.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -4053,14 +4325,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->members.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->members.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += iprot->readString(this->members[_i160]);
+              xfer += iprot->readString(this->members[_i180]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4073,14 +4345,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->memberIds.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->memberIds.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += iprot->readI32(this->memberIds[_i165]);
+              xfer += iprot->readI32(this->memberIds[_i185]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4121,10 +4393,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter166;
-    for (_iter166 = this->members.begin(); _iter166 != this->members.end(); ++_iter166)
+    std::vector<std::string> ::const_iterator _iter186;
+    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
     {
-      xfer += oprot->writeString((*_iter166));
+      xfer += oprot->writeString((*_iter186));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4133,10 +4405,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter167;
-    for (_iter167 = this->memberIds.begin(); _iter167 != this->memberIds.end(); ++_iter167)
+    std::vector<int32_t> ::const_iterator _iter187;
+    for (_iter187 = this->memberIds.begin(); _iter187 != this->memberIds.end(); ++_iter187)
     {
-      xfer += oprot->writeI32((*_iter167));
+      xfer += oprot->writeI32((*_iter187));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4157,21 +4429,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other168) {
-  leader = other168.leader;
-  leaderAddress = other168.leaderAddress;
-  member = other168.member;
-  members = other168.members;
-  memberIds = other168.memberIds;
-  __isset = other168.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other169) {
-  leader = other169.leader;
-  leaderAddress = other169.leaderAddress;
-  member = other169.member;
-  members = other169.members;
-  memberIds = other169.memberIds;
-  __isset = other169.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other188) {
+  leader = other188.leader;
+  leaderAddress = other188.leaderAddress;
+  member = other188.member;
+  members = other188.members;
+  memberIds = other188.memberIds;
+  __isset = other188.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other189) {
+  leader = other189.leader;
+  leaderAddress = other189.leaderAddress;
+  member = other189.member;
+  members = other189.members;
+  memberIds = other189.memberIds;
+  __isset = other189.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -45,6 +45,8 @@
 
 class RateGrant;
 
+class ModelLine;
+
 class ComingModel;
 
 class SyncReply;
@@ -398,7 +400,7 @@
 std::ostream& operator<<(std::ostream& out, const TenantGrant& obj);
 
 typedef struct _ModelUse__isset {
-  _ModelUse__isset() : model(false), waiting(false), inFlight(false), arrivals(false), urgency(false), tokens(false), worth(false) {}
+  _ModelUse__isset() : model(false), waiting(false), inFlight(false), arrivals(false), urgency(false), tokens(false), worth(false), waitingByRank(false), begun(false) {}
   bool model :1;
   bool waiting :1;
   bool inFlight :1;
@@ -406,6 +408,8 @@
   bool urgency :1;
   bool tokens :1;
   bool worth :1;
+  bool waitingByRank :1;
+  bool begun :1;
 } _ModelUse__isset;
 
 class ModelUse : public virtual ::apache::thrift::TBase {
@@ -420,7 +424,8 @@
              arrivals(0),
              urgency(0),
              tokens(0),
-             worth(0) {
+             worth(0),
+             begun(0) {
   }
 
   virtual ~ModelUse() noexcept;
@@ -431,6 +436,8 @@
   int32_t urgency;
   int64_t tokens;
   double worth;
+  std::vector<int32_t>  waitingByRank;
+  int32_t begun;
 
   _ModelUse__isset __isset;
 
@@ -448,6 +455,10 @@
 
   void __set_worth(const double val);
 
+  void __set_waitingByRank(const std::vector<int32_t> & val);
+
+  void __set_begun(const int32_t val);
+
   bool operator == (const ModelUse & rhs) const
   {
     if (!(model == rhs.model))
@@ -464,6 +475,10 @@
       return false;
     if (!(worth == rhs.worth))
       return false;
+    if (!(waitingByRank == rhs.waitingByRank))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
     return true;
   }
   bool operator != (const ModelUse &rhs) const {
@@ -1142,6 +1157,69 @@
 
 std::ostream& operator<<(std::ostream& out, const RateGrant& obj);
 
+typedef struct _ModelLine__isset {
+  _ModelLine__isset() : model(false), waitingByRank(false), inFlight(false), begunMilli(false) {}
+  bool model :1;
+  bool waitingByRank :1;
+  bool inFlight :1;
+  bool begunMilli :1;
+} _ModelLine__isset;
+
+class ModelLine : public virtual ::apache::thrift::TBase {
+ public:
+
+  ModelLine(const ModelLine&);
+  ModelLine& operator=(const ModelLine&);
+  ModelLine() noexcept
+            : model(),
+              inFlight(0),
+              begunMilli(0) {
+  }
+
+  virtual ~ModelLine() noexcept;
+  std::string model;
+  std::vector<int32_t>  waitingByRank;
+  int32_t inFlight;
+  int32_t begunMilli;
+
+  _ModelLine__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_waitingByRank(const std::vector<int32_t> & val);
+
+  void __set_inFlight(const int32_t val);
+
+  void __set_begunMilli(const int32_t val);
+
+  bool operator == (const ModelLine & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(waitingByRank == rhs.waitingByRank))
+      return false;
+    if (!(inFlight == rhs.inFlight))
+      return false;
+    if (!(begunMilli == rhs.begunMilli))
+      return false;
+    return true;
+  }
+  bool operator != (const ModelLine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ModelLine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ModelLine &a, ModelLine &b);
+
+std::ostream& operator<<(std::ostream& out, const ModelLine& obj);
+
 typedef struct _ComingModel__isset {
   _ComingModel__isset() : model(false), readyInMs(false) {}
   bool model :1;
@@ -1193,7 +1271,7 @@
 std::ostream& operator<<(std::ostream& out, const ComingModel& obj);
 
 typedef struct _SyncReply__isset {
-  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false), grants(false), compressedTable(false), tableBytes(false), tenants(false) {}
+  _SyncReply__isset() : leader(false), leaderAddress(false), epoch(false), seen(false), complete(false), rows(false), routesVersion(false), routes(false), members(false), hosts(false), coming(false), suspects(false), loads(false), compressedRoutes(false), routesBytes(false), heldParts(false), crashEpoch(false), grants(false), compressedTable(false), tableBytes(false), tenants(false), lines(false) {}
   bool leader :1;
   bool leaderAddress :1;
   bool epoch :1;
@@ -1215,6 +1293,7 @@
   bool compressedTable :1;
   bool tableBytes :1;
   bool tenants :1;
+  bool lines :1;
 } _SyncReply__isset;
 
 class SyncReply : public virtual ::apache::thrift::TBase {
@@ -1260,6 +1339,7 @@
   std::string compressedTable;
   int32_t tableBytes;
   std::vector<TenantGrant>  tenants;
+  std::vector<ModelLine>  lines;
 
   _SyncReply__isset __isset;
 
@@ -1305,6 +1385,8 @@
 
   void __set_tenants(const std::vector<TenantGrant> & val);
 
+  void __set_lines(const std::vector<ModelLine> & val);
+
   bool operator == (const SyncReply & rhs) const
   {
     if (!(leader == rhs.leader))
@@ -1349,6 +1431,8 @@
       return false;
     if (!(tenants == rhs.tenants))
       return false;
+    if (!(lines == rhs.lines))
+      return false;
     return true;
   }
   bool operator != (const SyncReply &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -56,6 +56,9 @@
   5: i32 urgency         // of the most urgent that waits; 0 is first
   6: i64 tokens          // that the waiting requests need
   7: double worth        // of the waiting requests
+  10: list<i32> waitingByRank // the waiting requests by their rank, 0 first; the last element counts
+                              // all further ones. Only if all servers with the model name their pace
+  11: i32 begun          // requests that got a place at a server since the last call
 }
 
 // Digest of a request's path and body.
@@ -145,6 +148,14 @@
   2: i32 requests
 }
 
+// Requests of other hosts that wait for one model.
+struct ModelLine {
+  1: string model
+  2: list<i32> waitingByRank
+  3: i32 inFlight        // of all hosts
+  4: i32 begunMilli      // requests of all hosts that begin in 1,000 s
+}
+
 struct ComingModel {
   1: string model
   2: i32 readyInMs
@@ -173,6 +184,7 @@
   20: binary compressedTable // a ServerTable; rows and loads are newer
   21: i32 tableBytes     // size of the table in compressedTable
   22: list<TenantGrant> tenants // of the tenants in the host's report
+  30: list<ModelLine> lines // of all models that several requests wait for
 }
 
 struct JoinRequest {
--- a/tests/EvenLoadTest.cpp
+++ b/tests/EvenLoadTest.cpp
@@ -228,6 +228,28 @@
   BOOST_TEST(places < 10);
 }
 
+// Guards against less urgent requests that take the places which more urgent
+// ones wait for at other hosts.
+BOOST_AUTO_TEST_CASE(LeavesPlacesToMoreUrgentRequestsElsewhere)
+{
+  NamePace(100);
+  need_.moreUrgentElsewhere_ = 4;
+  BOOST_TEST(Places() == 8);
+}
+
+BOOST_AUTO_TEST_CASE(NeverLeavesAllPlacesToMoreUrgentRequests)
+{
+  NamePace(100);
+  need_.moreUrgentElsewhere_ = 300;
+  BOOST_TEST(Places() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesNoPlacesWithoutAPace)
+{
+  need_.moreUrgentElsewhere_ = 300;
+  BOOST_TEST(Places() == 5);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsASightingOnce)
 {
   NamePace(130);
--- a/tests/ServerLoadTest.cpp
+++ b/tests/ServerLoadTest.cpp
@@ -36,6 +36,37 @@
   }
 };
 
+struct LoadedGateway : GatewayFixture
+{
+  core::Duration took_{ 0 };
+
+  transport::WholeAnswer CallModel()
+  {
+    const auto until = std::chrono::steady_clock::now() + kTestTimeout;
+    while (!gateway_->Ready() && std::chrono::steady_clock::now() < until) {
+      loop_.run_for(10ms);
+    }
+    loop_.run_for(300ms);
+    bool done = false;
+    transport::WholeAnswer received;
+    const core::MonotonicTime begin = clock_.Now();
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      HttpRequest request = Request("/model/a");
+      request.set("Model", "m1");
+      request.set("Tokens", "100,50");
+      auto answer =
+        co_await transport::CallOnce(loop_, callerAddress_, request, 5s);
+      if (answer.Ok()) {
+        received = std::move(answer.Value());
+      }
+      took_ = clock_.Now() - begin;
+      done = true;
+    });
+    RunUntil(done);
+    return received;
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ALoadHeader)
@@ -121,7 +152,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(AGateway, GatewayFixture)
+BOOST_FIXTURE_TEST_SUITE(AGateway, LoadedGateway)
 
 BOOST_AUTO_TEST_CASE(ReportsWhatAServerSaid)
 {
@@ -144,4 +175,36 @@
   BOOST_TEST(fleet_->ReportedLoads().empty());
 }
 
+// Guards against refusals after the caller's patience.
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatCannotBegin)
+{
+  StartServer("s1", Respond(kSignedSuccess, "hello"), "llm");
+  fleet_->FillEngines("m1");
+  // 2 requests begin in a second, and callers bear 2 s less 0.4 s.
+  fleet_->SetLine("m1", 40, 2000);
+  const auto answer = CallModel();
+  BOOST_TEST(answer.status_ == 503U);
+  BOOST_TEST(std::stod(std::string(answer.fields_["Retry-After"])) == 19.2,
+             boost::test_tools::tolerance(0.02));
+  BOOST_TEST(arrivals_ == 0);
+  BOOST_TEST((took_ < 500ms));
+}
+
+// Guards against refusals of what can begin.
+BOOST_AUTO_TEST_CASE(KeepsWhatCanBegin)
+{
+  StartServer("s1", Respond(kSignedSuccess, "hello"), "llm");
+  fleet_->FillEngines("m1");
+  fleet_->SetLine("m1", 40, 60'000);
+  BOOST_TEST(CallModel().status_ == 503U);
+  BOOST_TEST((took_ > 1500ms));
+  fleet_->SetOthersInFlight("s1", 0);
+  loop_.run_for(300ms);
+  // A long line is no reason while a place is free.
+  fleet_->SetLine("m1", 4000, 2000);
+  loop_.run_for(300ms);
+  CallModel();
+  BOOST_TEST(arrivals_ > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -174,6 +174,29 @@
     const std::lock_guard lock(mutex_);
     grantsLeft_ = aCount;
   }
+  /// Makes all servers engines with the model that name their pace, and full.
+  void FillEngines(const std::string& aModel)
+  {
+    const std::lock_guard lock(mutex_);
+    for (wire::ServerRow& row : reply_.rows) {
+      row.models = { aModel };
+      row.memoryTokens = 90'000;
+      row.pacePercent = 100;
+      row.inFlight = kServerSlots;
+    }
+  }
+  /// Requests of other hosts that wait for the model.
+  void SetLine(const std::string& aModel,
+               std::int32_t aWaiting,
+               std::int32_t aBegunMilli)
+  {
+    const std::lock_guard lock(mutex_);
+    wire::ModelLine line;
+    line.model = aModel;
+    line.waitingByRank = { aWaiting };
+    line.begunMilli = aBegunMilli;
+    reply_.lines = { line };
+  }
   /// Reports of what servers said of their load.
   std::vector<wire::ServerUse> ReportedLoads()
   {
