Plan each order for all late orders that may come before it

Two unanswered loads could be carried out in a row in the next run of a server though the second was planned on a content without the first: 50 and 40 MB on a server with 80.

Where fencing isn't enforced, the memory of all open loads of a server stays free, also of those with a lower sequence than it counts now; open adapters are not unloaded either. A load that needs no other order before it may take that of open loads with its own sequence, since each run accepts one of them. Cost: for 15 s a model whose order got no answer can't be unloaded there.

AgreedOrdersTest 11, LateOrdersTest 8, ModelPlacementTest 27, AdapterRoomTest 2, CopiesTest 9 cases and FleetOrdersTest passed.

--- a/control/FleetControllerOrders.cpp
+++ b/control/FleetControllerOrders.cpp
@@ -106,13 +106,23 @@
 {
   unanswered_.Expire(aNow);
   std::map<core::ServerId, std::set<core::ModelName>> loads;
+  std::map<core::ServerId, std::set<core::ModelName>> rivals;
   for (const core::ServerId& server : unanswered_.Servers()) {
     const auto engine = engines_.find(server);
-    if (engine != engines_.end() && engine->second.sequence_) {
-      loads[server] = unanswered_.LoadsAfter(server, *engine->second.sequence_);
+    if (engine == engines_.end() || !engine->second.sequence_) {
+      continue;
     }
+    const std::int64_t sequence = *engine->second.sequence_;
+    if (settings_.fencingEnforced_) {
+      loads[server] = unanswered_.LoadsAfter(server, sequence);
+      continue;
+    }
+    // Where a late order of an earlier run isn't barred by its fencing number,
+    // it may come before an order that is planned now.
+    loads[server] = unanswered_.Loads(server);
+    rivals[server] = unanswered_.LoadsAt(server, sequence);
   }
-  placement_.SetPossibleLoads(std::move(loads));
+  placement_.SetPossibleLoads(std::move(loads), std::move(rivals));
   std::set<core::ServerId> withheld = recorded_.Withheld(aNow);
   if (earlierOrders_ && aNow >= earlierOrders_->until_) {
     earlierOrders_.reset();
--- a/coordination/ModelPlacement.cpp
+++ b/coordination/ModelPlacement.cpp
@@ -148,9 +148,11 @@
 
 void
 ModelPlacement::SetPossibleLoads(
-  std::map<core::ServerId, std::set<core::ModelName>> aLoads)
+  std::map<core::ServerId, std::set<core::ModelName>> aLoads,
+  std::map<core::ServerId, std::set<core::ModelName>> aRivals)
 {
   possibleLoads_ = std::move(aLoads);
+  rivalLoads_ = std::move(aRivals);
 }
 
 void
--- a/coordination/ModelPlacement.hpp
+++ b/coordination/ModelPlacement.hpp
@@ -113,9 +113,12 @@
                 double aSlowness = 1);
   /// Replaces what is known of loads that servers may still carry out although
   /// nobody waits for them: models, and "MODEL/ADAPTER". Their memory and
-  /// adapter slots stay free.
+  /// adapter slots stay free. aRivals: those that the server accepts only
+  /// instead of its next order; a load that needs no other order before it may
+  /// take their memory.
   void SetPossibleLoads(
-    std::map<core::ServerId, std::set<core::ModelName>> aLoads);
+    std::map<core::ServerId, std::set<core::ModelName>> aLoads,
+    std::map<core::ServerId, std::set<core::ModelName>> aRivals = {});
   /// Replaces the servers that get no orders, because loads that nobody here
   /// knows of may reach them.
   void SetWithheld(std::set<core::ServerId> aServers);
@@ -299,6 +302,7 @@
   std::map<ServiceName, EngineLimits> limits_;
   std::map<core::ServerId, Server> servers_;
   std::map<core::ServerId, std::set<core::ModelName>> possibleLoads_;
+  std::map<core::ServerId, std::set<core::ModelName>> rivalLoads_;
   std::set<core::ServerId> withheld_;
   /// Models of servers that have left.
   std::set<core::ModelName> lostModels_;
--- a/coordination/ModelPlacementPlan.cpp
+++ b/coordination/ModelPlacementPlan.cpp
@@ -152,6 +152,16 @@
   const std::uint32_t wanted =
     SizeMb(*limits, aModel, nullptr) + LoadsMb(open, *limits);
   std::uint32_t used = UsedMb(aServer, *limits);
+  if (const auto rivals = rivalLoads_.find(aId); rivals != rivalLoads_.end()) {
+    std::set<core::ModelName> others = open;
+    for (const core::ModelName& rival : rivals->second) {
+      others.erase(rival);
+    }
+    if (used + SizeMb(*limits, aModel, nullptr) + LoadsMb(others, *limits) <=
+        limits->weightsMb_) {
+      return candidate;
+    }
+  }
   const auto possible = possibleLoads_.find(aId);
   std::vector<std::pair<double, core::ModelName>> victims;
   for (const auto& [model, loaded] : aServer.models_) {
--- a/coordination/PlacementAdapters.cpp
+++ b/coordination/PlacementAdapters.cpp
@@ -92,15 +92,18 @@
   if (size == limits->models_.end()) {
     return;
   }
+  // Their slots could be taken again.
+  const auto reloaded = possibleLoads_.find(bestId);
   std::vector<placement::UnusedAdapter> unused;
   for (const auto& [name, loaded] : best->models_) {
     const auto other = limits->models_.find(name);
     for (const std::string& adapter : loaded.adapters_) {
-      const auto use =
-        demandStats_.find(core::ModelName(name.Value() + "/" + adapter));
+      const core::ModelName full(name.Value() + "/" + adapter);
+      const auto use = demandStats_.find(full);
       const bool needed =
-        use != demandStats_.end() && (use->second.current_.inFlight_ > 0 ||
-                                      use->second.current_.waiting_ > 0);
+        (use != demandStats_.end() && (use->second.current_.inFlight_ > 0 ||
+                                       use->second.current_.waiting_ > 0)) ||
+        (reloaded != possibleLoads_.end() && reloaded->second.contains(full));
       if (!needed) {
         unused.push_back(
           { name,
--- a/coordination/UnansweredOrders.cpp
+++ b/coordination/UnansweredOrders.cpp
@@ -83,4 +83,33 @@
   return loads;
 }
 
+std::set<core::ModelName>
+UnansweredOrders::Loads(const core::ServerId& aServer) const
+{
+  std::set<core::ModelName> loads;
+  const auto found = sends_.find(aServer);
+  if (found != sends_.end()) {
+    for (const Send& send : found->second) {
+      loads.insert(send.load_);
+    }
+  }
+  return loads;
+}
+
+std::set<core::ModelName>
+UnansweredOrders::LoadsAt(const core::ServerId& aServer,
+                          std::int64_t aSequence) const
+{
+  std::set<core::ModelName> loads = Loads(aServer);
+  const auto found = sends_.find(aServer);
+  if (found != sends_.end()) {
+    for (const Send& send : found->second) {
+      if (send.sequence_ != aSequence) {
+        loads.erase(send.load_);
+      }
+    }
+  }
+  return loads;
+}
+
 } // namespace crocusslip::coordination
--- a/coordination/UnansweredOrders.hpp
+++ b/coordination/UnansweredOrders.hpp
@@ -42,6 +42,13 @@
   /// aSequence.
   std::set<core::ModelName> LoadsAfter(const core::ServerId& aServer,
                                        std::int64_t aSequence) const;
+  /// Loads that the server may carry out in this run or in a later one. An
+  /// order that is planned on a content without them may follow them there.
+  std::set<core::ModelName> Loads(const core::ServerId& aServer) const;
+  /// Those of them that have only this sequence: in each run the server accepts
+  /// either one of them or another order with it.
+  std::set<core::ModelName> LoadsAt(const core::ServerId& aServer,
+                                    std::int64_t aSequence) const;
 
 private:
   struct Send
--- a/tests/AgreedOrdersTest.cpp
+++ b/tests/AgreedOrdersTest.cpp
@@ -21,8 +21,6 @@
 const coordination::ServiceName kService("llm");
 constexpr std::uint32_t kModelMb = 34;
 constexpr std::uint32_t kServerMb = 80;
-/// The most models that fit.
-constexpr std::size_t kMostModels = kServerMb / kModelMb;
 
 core::MonotonicTime
 Now()
@@ -114,6 +112,8 @@
   }
 
   std::map<core::ServerId, Engine> engines_;
+  /// Of models that don't have kModelMb.
+  std::map<std::string, std::uint32_t> sizes_;
   std::set<std::string> unanswered_;
   std::vector<Order> sent_;
   std::vector<Order> late_;
@@ -131,7 +131,12 @@
       engine.models_.erase(aOrder.order_.model_);
     } else {
       engine.models_.insert(aOrder.order_.model_);
-      overfull_ = overfull_ || engine.models_.size() > kMostModels;
+      std::uint32_t used = 0;
+      for (const core::ModelName& model : engine.models_) {
+        const auto size = sizes_.find(model.Value());
+        used += size == sizes_.end() ? kModelMb : size->second;
+      }
+      overfull_ = overfull_ || used > kServerMb;
     }
     return OrderReply::Accepted;
   }
@@ -165,6 +170,12 @@
     backends_ = &engines_;
   }
 
+  void SetSize(const std::string& aModel, std::uint32_t aMb)
+  {
+    engines_.sizes_[aModel] = aMb;
+    limits_[kService].models_[core::ModelName(aModel)].weightsMb_ = aMb;
+  }
+
   void StartGroup(std::size_t aMembers = 1)
   {
     Start(aMembers);
@@ -431,6 +442,25 @@
   BOOST_TEST(AwaitLoaded("m3"));
 }
 
+// Guards against two late orders that are carried out one after the other in
+// the next run of the server, though the second was planned on a content
+// without the first.
+BOOST_AUTO_TEST_CASE(plans_for_all_orders_that_may_be_carried_out_together)
+{
+  engines_.engines_[server_] = {};
+  SetSize("m3", 50);
+  SetSize("m4", 20);
+  SetSize("m5", 40);
+  StartGroup();
+  LoseAnOrder("m3");
+  BOOST_TEST(AwaitLoaded("m4"));
+  engines_.unanswered_.insert("m5");
+  AskFor(4s, { "m4", "m5" });
+  engines_.RestartEmpty(server_);
+  engines_.CarryOutLateOrders();
+  BOOST_TEST(!engines_.overfull_);
+}
+
 // Guards against a table that keeps answered orders, whose memory the next
 // leader would keep free.
 BOOST_AUTO_TEST_CASE(ends_answered_orders)
--- a/tests/LateOrdersTest.cpp
+++ b/tests/LateOrdersTest.cpp
@@ -319,6 +319,10 @@
   BOOST_TEST((orders.LoadsAfter(kServer, 2) == Names({ "m2/a1" })));
   BOOST_TEST(orders.LoadsAfter(kServer, 4).empty());
   BOOST_TEST(orders.LoadsAfter(core::ServerId("s2"), 0).empty());
+  BOOST_TEST((orders.Loads(kServer) == Names({ "m1", "m2/a1" })));
+  BOOST_TEST((orders.LoadsAt(kServer, 2) == Names({ "m1" })));
+  orders.OnSent(LoadOrder("m1"), 3, now);
+  BOOST_TEST(orders.LoadsAt(kServer, 2).empty());
 }
 
 BOOST_AUTO_TEST_CASE(AreForgottenOnceTheyCannotBeCarriedOut)
--- a/tests/ModelPlacementTest.cpp
+++ b/tests/ModelPlacementTest.cpp
@@ -523,6 +523,20 @@
 
 // Guards against a model that is unloaded to make room, and loaded again by the
 // late order.
+// Guards against a restarted server that gets no order, since one before has
+// the sequence of its next one: either of both is carried out.
+BOOST_FIXTURE_TEST_CASE(LeaveTheirMemoryToTheNextOrderIfItReplacesThem, Fixture)
+{
+  AddServerWith(1, { "m1" });
+  AddRunning(1, "m1", 1);
+  AddWaiting("m4");
+  placement_.SetPossibleLoads({ { Server(1), { Model("m3") } } });
+  BOOST_TEST(Decide().empty());
+  placement_.SetPossibleLoads({ { Server(1), { Model("m3") } } },
+                              { { Server(1), { Model("m3") } } });
+  BOOST_TEST(LoadsOf(Decide(), "m4").size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(DoNotLetTheirModelMakeRoom, Fixture)
 {
   AddServerWith(1, { "m1", "m2" });
