Reset the connection of a call that is given up

Change: a call without a whole answer resets its connection, which drops bytes that have not arrived.

--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -450,6 +450,14 @@
   return stream_.socket().is_open() && !Peek(stream_.socket());
 }
 
+void
+ServerLink::Reset()
+{
+  boost::system::error_code ignored;
+  stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  stream_.socket().close(ignored);
+}
+
 void
 ServerLink::Abort()
 {
@@ -553,6 +561,8 @@
                         co_await link.ReadHead(head, aTimeout);
   WholeAnswer answer;
   if (!answered || !co_await link.ReadRest(answer.body_, aTimeout)) {
+    // The caller gives up on it: an order must not arrive after a later one.
+    link.Reset();
     co_return fail(link.TimedOut() ? core::Errc::Timeout
                                    : core::Errc::ConnectionLost,
                    "no whole answer");
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -134,6 +134,9 @@
   /// Nothing has arrived or been closed since the last answer.
   bool Quiet();
   void Abort();
+  /// Ends the connection so that bytes that have not reached the server are
+  /// dropped, also those that a partition holds up.
+  void Reset();
   bool TimedOut() const { return timedOut_; }
   std::chrono::steady_clock::time_point idleSince_;
   /// How long the server keeps an idle connection; 0: it did not say.
