Test that a leader without a complete record still withholds orders

LateOrdersTest played the withholding of 15 s before; with recorded orders no test reached it, though a state of the release before still needs it.

The first leader records nothing, since fencing is enforced for it; the next one, for which it isn't, finds no complete record. It gives a server that has restarted no order for the 6 s of the test, and the late order overfills nothing.

--- a/tests/AgreedOrdersTest.cpp
+++ b/tests/AgreedOrdersTest.cpp
@@ -344,6 +344,27 @@
   BOOST_TEST(!engines_.overfull_);
 }
 
+// Guards against orders to a restarted server by a leader whose state doesn't
+// have all orders before it, as after a release without records.
+BOOST_AUTO_TEST_CASE(withholds_orders_without_a_complete_record)
+{
+  fleet_.fencingEnforced_ = true;
+  StartGroup();
+  LoseAnOrder("m3");
+  engines_.RestartEmpty(server_);
+  engines_.engines_[server_].startedAt_ =
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count();
+  engines_.sent_.clear();
+  fleet_.fencingEnforced_ = false;
+  ReplaceLeader();
+  AskFor(6s, { "m4", "m5" });
+  BOOST_TEST(engines_.sent_.empty());
+  engines_.CarryOutLateOrders();
+  BOOST_TEST(!engines_.overfull_);
+}
+
 // Guards against two holders that order one server within the holders' lease,
 // and against servers without orders that wait for it.
 BOOST_AUTO_TEST_CASE(waits_only_at_servers_that_had_an_order_lately)
