--- a/admission/QuotaLedger.hpp
+++ b/admission/QuotaLedger.hpp
@@ -131,7 +131,7 @@
   /// Time after which the window has room for a request.
   core::Duration RoomAfter(const Account& aAccount) const;
 
-  const QuotaBound bound_;
+  QuotaBound bound_;
   std::map<TenantName, Account> accounts_;
   std::map<core::HostId, Host> hosts_;
   std::optional<core::MonotonicTime> firstReportAt_;
--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -125,6 +125,7 @@
   routesVersion_ = 0;
   table_ = {};
   rateGrants_ = {};
+  quotas_ = admission::QuotaLedger(settings_.quotaBound_);
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
@@ -167,6 +168,7 @@
   }
   limits_ = std::move(services.Value());
   placement_.SetLimits(limits_);
+  TakeQuotas(text);
 }
 
 bool
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "admission/QuotaBound.hpp"
+#include "admission/QuotaLedger.hpp"
+#include "admission/Tenants.hpp"
 #include "control/BackendPort.hpp"
 #include "control/GroupHost.hpp"
 #include "coordination/CrashGuard.hpp"
@@ -26,6 +27,11 @@
 
 namespace crocusslip::control {
 
+/// Reads the quotas of tenants out of the published table of routes.
+using ReadQuotas =
+  std::function<core::Result<std::map<admission::TenantName, admission::Quota>>(
+    const std::string&)>;
+
 struct FleetControllerSettings
 {
   /// Name under which orders are given.
@@ -37,6 +43,8 @@
   /// they have accepted.
   bool fencingEnforced_ = false;
   admission::QuotaBound quotaBound_;
+  /// Without it no quota is kept.
+  ReadQuotas readQuotas_;
 };
 
 /// Reads the limits of services out of the published table of routes.
@@ -134,6 +142,12 @@
   void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
   /// Logs the moment from which all hosts have the newest routes.
   void RecordRoutesTaken(const wire::SyncRequest& aRequest);
+  void TakeQuotas(const std::string& aRoutes);
+  void TakeQuotaUses(const wire::SyncRequest& aRequest,
+                     core::MonotonicTime aNow);
+  void FillQuotaGrants(const wire::SyncRequest& aRequest,
+                       wire::SyncReply& aReply,
+                       core::MonotonicTime aNow);
   /// Grants what the host wants of servers with a rate limit; false if nothing
   /// is granted.
   bool GrantRequests(const wire::SyncRequest& aRequest,
@@ -202,6 +216,7 @@
   bool routesTakenByAll_ = false;
   coordination::FleetTable table_;
   coordination::RateGrants rateGrants_;
+  admission::QuotaLedger quotas_{ admission::QuotaBound{} };
   coordination::ModelPlacement placement_;
   /// Kept over terms.
   coordination::UnansweredOrders unanswered_;
--- a/control/FleetControllerHosts.cpp
+++ b/control/FleetControllerHosts.cpp
@@ -272,6 +272,7 @@
   const core::HostId host(aRequest.host);
   const core::Term term = term_;
   TakeReport(aRequest, clock_.Now());
+  TakeQuotaUses(aRequest, clock_.Now());
   RecordRoutesTaken(aRequest);
   TakeSuspects(aRequest, clock_.Now());
   TakePromptParts(aRequest, clock_.Now());
@@ -279,7 +280,11 @@
   const auto wait =
     std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
   const bool granted = GrantRequests(aRequest, aReply, clock_.Now());
-  if (known && !granted) {
+  const bool waits =
+    std::ranges::any_of(aRequest.tenants, [](const wire::TenantUse& aUse) {
+      return aUse.wanted > 0;
+    });
+  if (known && !granted && !waits) {
     AwaitChange(aRequest, wait, lock);
   }
   if (!group_.MayDecide() || term_ != group_.Term()) {
@@ -290,6 +295,7 @@
     GrantRequests(aRequest, aReply, clock_.Now());
   }
   Fill(aRequest, aReply, clock_.Now());
+  FillQuotaGrants(aRequest, aReply, clock_.Now());
   urgentSent_[host] = table_.UrgentVersion();
 }
 
--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -42,9 +42,9 @@
 constexpr std::size_t kMaxSuspects = 512;
 
 constexpr std::array<const char*, kGatewayRefusals> kRefusalNames = {
-  "no_routes_yet", "no_route",      "no_server",   "no_model",
-  "full",          "deadline_over", "quarantined", "not_run_elsewhere",
-  "broken",        "malformed",     "draining",    "unknown_key",
+  "no_routes_yet", "no_route",    "no_server",         "no_model", "full",
+  "deadline_over", "quarantined", "not_run_elsewhere", "broken",   "malformed",
+  "draining",      "unknown_key", "over_quota",
 };
 
 coordination::CrashGuardSettings
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/QuotaGate.hpp"
 #include "coordination/BackendView.hpp"
 #include "coordination/CrashGuard.hpp"
 #include "coordination/DispatchQueue.hpp"
@@ -55,8 +56,10 @@
   Draining,
   /// The request has no key, or one that no tenant has.
   UnknownKey,
+  /// The tenant's quota is used up.
+  OverQuota,
 };
-inline constexpr std::size_t kGatewayRefusals = 12;
+inline constexpr std::size_t kGatewayRefusals = 13;
 const char*
 NameOf(GatewayRefusal aReason);
 
@@ -104,6 +107,10 @@
   wire::SyncRequest BuildSyncRequest();
   void ApplySyncReply(const wire::SyncReply& aReply);
   void ApplyRoutes(const wire::SyncReply& aReply);
+  void ReportQuotas(wire::SyncRequest& aRequest);
+  void ApplyQuotas(const wire::SyncReply& aReply);
+  /// Tells the leader at once if the gate asks for it.
+  void SyncQuotas();
   void ApplyServerRows(const wire::SyncReply& aReply);
   void ApplyServerRow(const wire::ServerRow& aRow);
   void ApplySuspects(const wire::SyncReply& aReply);
@@ -160,6 +167,10 @@
   coordination::DispatchQueue queue_;
   /// Calls that wait for a server slot.
   std::map<coordination::DispatchQueue::Id, GatewayCall*> waiting_;
+  admission::QuotaGate quotas_;
+  /// Calls that wait for credit of their tenants.
+  std::map<admission::QuotaGate::Id, GatewayCall*> awaitingQuota_;
+  admission::QuotaGate::Id lastQuotaId_ = 0;
   /// Expected ready times of the models that are being loaded.
   std::map<core::ModelName, core::MonotonicTime> expectedReady_;
 
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -106,6 +106,7 @@
 GatewayCall::~GatewayCall()
 {
   ReleaseAnswerMemory();
+  ReleaseQuota();
   if (queueId_) {
     gateway_.queue_.Remove(*queueId_);
     gateway_.waiting_.erase(*queueId_);
@@ -117,6 +118,7 @@
 {
   WatchCaller();
   co_await Forward();
+  ReleaseQuota();
   finished_ = true;
   if (completed_) {
     gateway_.RecordCompleted(fingerprint_);
@@ -200,6 +202,11 @@
     time = std::min<core::Duration>(time, std::chrono::milliseconds(*left));
   }
   deadline_ = arrivedAt_ + time - kAnswerReturnTime;
+  if (tenant_ != nullptr) {
+    const std::uint64_t tokens = TokensOf(header(names.tokens_));
+    quotaCost_ = tenant_->quota_.CostOf(tokens == 0 ? std::nullopt
+                                                    : std::optional(tokens));
+  }
   const std::uint64_t hash = core::Hash64(id_);
   requirements_.service_ = route_->SelectService(hash);
   const coordination::Service* service =
@@ -280,6 +287,17 @@
     co_await Refuse(GatewayRefusal::Quarantined, 503, std::nullopt);
     co_return;
   }
+  if (!co_await AwaitQuota()) {
+    if (givenUp_) {
+      co_await Refuse(GatewayRefusal::Draining, 503, core::Duration(0));
+    } else if (!callerGone_) {
+      co_await Refuse(
+        GatewayRefusal::OverQuota,
+        429,
+        gateway_.quotas_.RetryAfter(tenant_->name_, gateway_.clock_.Now()));
+    }
+    co_return;
+  }
   gateway_.RetryBudgetFor(requirements_.service_).OnRequest(arrivedAt_);
   if (!requirements_.model_.Empty()) {
     ++gateway_.models_[requirements_.model_].arrivals_;
@@ -518,8 +536,13 @@
   ++sends_;
   sentAt_ = gateway_.clock_.Now();
   activeLink_ = link.get();
+  ChargeQuota();
   const AttemptResult outcome = co_await Exchange(*link);
   activeLink_ = nullptr;
+  if (outcome == AttemptResult::RetryNotRun ||
+      outcome == AttemptResult::RetryUnsent) {
+    ReturnQuota();
+  }
   if (!model.Empty()) {
     --models[model].inFlight_;
     auto& running = gateway_.runningModels_[choice_.server_];
@@ -624,7 +647,7 @@
   if (aStatus == 401) {
     answer.set(http::field::www_authenticate, "Bearer");
   }
-  const bool notRun = aStatus == 503;
+  const bool notRun = aStatus == 503 || aStatus == 429;
   if (notRun && aRetryAfter) {
     answer.set(http::field::retry_after, SecondsText(*aRetryAfter));
   }
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -34,6 +34,8 @@
   bool CanStillGetSlot() const { return SlotDeadline().has_value(); }
   /// Called when the deadline for a server slot may have changed.
   void RecheckDeadline() { timer_.cancel(); }
+  /// Called by the gateway when the call no longer waits for credit.
+  void OnQuotaVerdict(admission::QuotaGate::Verdict aVerdict);
   /// Answers the caller at once, unless a stream has begun: the process ends.
   void GiveUp();
 
@@ -65,6 +67,15 @@
   /// a key and has none that a tenant has.
   bool Authenticate();
   transport::Task<void> AwaitRoutes();
+  /// Takes the request's units out of its tenant's quota. False if there are
+  /// none.
+  transport::Task<bool> AwaitQuota();
+  /// The request is sent to a server, once more if it was before.
+  void ChargeQuota();
+  /// It did not run there.
+  void ReturnQuota();
+  /// Gives back the units of a request that was admitted and not sent.
+  void ReleaseQuota();
   transport::Task<void> Forward();
   transport::Task<bool> AwaitSlot();
   /// Whether the request is held back for a part of its prompt.
@@ -134,6 +145,17 @@
   const coordination::Route* route_ = nullptr;
   /// Null without tenants, and on anonymous routes.
   const admission::Tenant* tenant_ = nullptr;
+  /// Whether the request's units are taken out of its tenant's quota, and
+  /// whether they count as spent.
+  enum class QuotaState : std::uint8_t
+  {
+    None,
+    Reserved,
+    Spent,
+  };
+  QuotaState quotaState_ = QuotaState::None;
+  double quotaCost_ = 0;
+  std::optional<admission::QuotaGate::Verdict> quotaVerdict_;
   /// 0 is the most urgent.
   std::uint32_t rank_ = 0;
   coordination::BackendRequirements requirements_;
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -196,6 +196,7 @@
   if (reportHeldParts_) {
     request.heldParts = ToWireParts(heldParts_);
   }
+  ReportQuotas(request);
   return request;
 }
 
@@ -203,6 +204,7 @@
 Gateway::ApplySyncReply(const wire::SyncReply& aReply)
 {
   ApplyRoutes(aReply);
+  ApplyQuotas(aReply);
   ApplySuspects(aReply);
   ApplyServerRows(aReply);
   if (aReply.hosts > 0 && hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -577,6 +577,22 @@
 void TenantUse::__set_waiting(const int32_t val) {
   this->waiting = val;
 }
+
+void TenantUse::__set_quota(const bool val) {
+  this->quota = val;
+}
+
+void TenantUse::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void TenantUse::__set_reserved(const int64_t val) {
+  this->reserved = val;
+}
+
+void TenantUse::__set_recent(const std::vector<int64_t> & val) {
+  this->recent = val;
+}
 std::ostream& operator<<(std::ostream& out, const TenantUse& obj)
 {
   obj.printTo(out);
@@ -661,6 +677,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quota);
+          this->__isset.quota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reserved);
+          this->__isset.reserved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->recent.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->recent.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI64(this->recent[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.recent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -706,6 +766,30 @@
   xfer += oprot->writeI32(this->waiting);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quota", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->quota);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserved", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->reserved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recent", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->recent.size()));
+    std::vector<int64_t> ::const_iterator _iter19;
+    for (_iter19 = this->recent.begin(); _iter19 != this->recent.end(); ++_iter19)
+    {
+      xfer += oprot->writeI64((*_iter19));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -720,28 +804,40 @@
   swap(a.refused, b.refused);
   swap(a.running, b.running);
   swap(a.waiting, b.waiting);
+  swap(a.quota, b.quota);
+  swap(a.requests, b.requests);
+  swap(a.reserved, b.reserved);
+  swap(a.recent, b.recent);
   swap(a.__isset, b.__isset);
 }
 
-TenantUse::TenantUse(const TenantUse& other14) {
-  tenant = other14.tenant;
-  spent = other14.spent;
-  wanted = other14.wanted;
-  credit = other14.credit;
-  refused = other14.refused;
-  running = other14.running;
-  waiting = other14.waiting;
-  __isset = other14.__isset;
-}
-TenantUse& TenantUse::operator=(const TenantUse& other15) {
-  tenant = other15.tenant;
-  spent = other15.spent;
-  wanted = other15.wanted;
-  credit = other15.credit;
-  refused = other15.refused;
-  running = other15.running;
-  waiting = other15.waiting;
-  __isset = other15.__isset;
+TenantUse::TenantUse(const TenantUse& other20) {
+  tenant = other20.tenant;
+  spent = other20.spent;
+  wanted = other20.wanted;
+  credit = other20.credit;
+  refused = other20.refused;
+  running = other20.running;
+  waiting = other20.waiting;
+  quota = other20.quota;
+  requests = other20.requests;
+  reserved = other20.reserved;
+  recent = other20.recent;
+  __isset = other20.__isset;
+}
+TenantUse& TenantUse::operator=(const TenantUse& other21) {
+  tenant = other21.tenant;
+  spent = other21.spent;
+  wanted = other21.wanted;
+  credit = other21.credit;
+  refused = other21.refused;
+  running = other21.running;
+  waiting = other21.waiting;
+  quota = other21.quota;
+  requests = other21.requests;
+  reserved = other21.reserved;
+  recent = other21.recent;
+  __isset = other21.__isset;
   return *this;
 }
 void TenantUse::printTo(std::ostream& out) const {
@@ -754,6 +850,10 @@
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "running=" << to_string(running);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "quota=" << to_string(quota);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "reserved=" << to_string(reserved);
+  out << ", " << "recent=" << to_string(recent);
   out << ")";
 }
 
@@ -785,6 +885,14 @@
 void TenantGrant::__set_sharePercent(const int32_t val) {
   this->sharePercent = val;
 }
+
+void TenantGrant::__set_quota(const bool val) {
+  this->quota = val;
+}
+
+void TenantGrant::__set_fallbackCreditMilli(const int64_t val) {
+  this->fallbackCreditMilli = val;
+}
 std::ostream& operator<<(std::ostream& out, const TenantGrant& obj)
 {
   obj.printTo(out);
@@ -861,6 +969,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quota);
+          this->__isset.quota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fallbackCreditMilli);
+          this->__isset.fallbackCreditMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -902,6 +1026,14 @@
   xfer += oprot->writeI32(this->sharePercent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quota", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->quota);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fallbackCreditMilli", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->fallbackCreditMilli);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -915,26 +1047,32 @@
   swap(a.fallbackMilli, b.fallbackMilli);
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.sharePercent, b.sharePercent);
+  swap(a.quota, b.quota);
+  swap(a.fallbackCreditMilli, b.fallbackCreditMilli);
   swap(a.__isset, b.__isset);
 }
 
-TenantGrant::TenantGrant(const TenantGrant& other16) {
-  tenant = other16.tenant;
-  metered = other16.metered;
-  credit = other16.credit;
-  fallbackMilli = other16.fallbackMilli;
-  retryAfterMs = other16.retryAfterMs;
-  sharePercent = other16.sharePercent;
-  __isset = other16.__isset;
-}
-TenantGrant& TenantGrant::operator=(const TenantGrant& other17) {
-  tenant = other17.tenant;
-  metered = other17.metered;
-  credit = other17.credit;
-  fallbackMilli = other17.fallbackMilli;
-  retryAfterMs = other17.retryAfterMs;
-  sharePercent = other17.sharePercent;
-  __isset = other17.__isset;
+TenantGrant::TenantGrant(const TenantGrant& other22) {
+  tenant = other22.tenant;
+  metered = other22.metered;
+  credit = other22.credit;
+  fallbackMilli = other22.fallbackMilli;
+  retryAfterMs = other22.retryAfterMs;
+  sharePercent = other22.sharePercent;
+  quota = other22.quota;
+  fallbackCreditMilli = other22.fallbackCreditMilli;
+  __isset = other22.__isset;
+}
+TenantGrant& TenantGrant::operator=(const TenantGrant& other23) {
+  tenant = other23.tenant;
+  metered = other23.metered;
+  credit = other23.credit;
+  fallbackMilli = other23.fallbackMilli;
+  retryAfterMs = other23.retryAfterMs;
+  sharePercent = other23.sharePercent;
+  quota = other23.quota;
+  fallbackCreditMilli = other23.fallbackCreditMilli;
+  __isset = other23.__isset;
   return *this;
 }
 void TenantGrant::printTo(std::ostream& out) const {
@@ -946,6 +1084,8 @@
   out << ", " << "fallbackMilli=" << to_string(fallbackMilli);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "sharePercent=" << to_string(sharePercent);
+  out << ", " << "quota=" << to_string(quota);
+  out << ", " << "fallbackCreditMilli=" << to_string(fallbackCreditMilli);
   out << ")";
 }
 
@@ -1127,25 +1267,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelUse::ModelUse(const ModelUse& other18) {
-  model = other18.model;
-  waiting = other18.waiting;
-  inFlight = other18.inFlight;
-  arrivals = other18.arrivals;
-  urgency = other18.urgency;
-  tokens = other18.tokens;
-  worth = other18.worth;
-  __isset = other18.__isset;
-}
-ModelUse& ModelUse::operator=(const ModelUse& other19) {
-  model = other19.model;
-  waiting = other19.waiting;
-  inFlight = other19.inFlight;
-  arrivals = other19.arrivals;
-  urgency = other19.urgency;
-  tokens = other19.tokens;
-  worth = other19.worth;
-  __isset = other19.__isset;
+ModelUse::ModelUse(const ModelUse& other24) {
+  model = other24.model;
+  waiting = other24.waiting;
+  inFlight = other24.inFlight;
+  arrivals = other24.arrivals;
+  urgency = other24.urgency;
+  tokens = other24.tokens;
+  worth = other24.worth;
+  __isset = other24.__isset;
+}
+ModelUse& ModelUse::operator=(const ModelUse& other25) {
+  model = other25.model;
+  waiting = other25.waiting;
+  inFlight = other25.inFlight;
+  arrivals = other25.arrivals;
+  urgency = other25.urgency;
+  tokens = other25.tokens;
+  worth = other25.worth;
+  __isset = other25.__isset;
   return *this;
 }
 void ModelUse::printTo(std::ostream& out) const {
@@ -1254,15 +1394,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Fingerprint::Fingerprint(const Fingerprint& other20) noexcept {
-  high = other20.high;
-  low = other20.low;
-  __isset = other20.__isset;
+Fingerprint::Fingerprint(const Fingerprint& other26) noexcept {
+  high = other26.high;
+  low = other26.low;
+  __isset = other26.__isset;
 }
-Fingerprint& Fingerprint::operator=(const Fingerprint& other21) noexcept {
-  high = other21.high;
-  low = other21.low;
-  __isset = other21.__isset;
+Fingerprint& Fingerprint::operator=(const Fingerprint& other27) noexcept {
+  high = other27.high;
+  low = other27.low;
+  __isset = other27.__isset;
   return *this;
 }
 void Fingerprint::printTo(std::ostream& out) const {
@@ -1341,14 +1481,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->parts.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->parts.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += iprot->readI64(this->parts[_i26]);
+              xfer += iprot->readI64(this->parts[_i32]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1393,10 +1533,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter27;
-    for (_iter27 = this->parts.begin(); _iter27 != this->parts.end(); ++_iter27)
+    std::vector<int64_t> ::const_iterator _iter33;
+    for (_iter33 = this->parts.begin(); _iter33 != this->parts.end(); ++_iter33)
     {
-      xfer += oprot->writeI64((*_iter27));
+      xfer += oprot->writeI64((*_iter33));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1420,19 +1560,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Crash::Crash(const Crash& other28) {
-  server = other28.server;
-  request = other28.request;
-  parts = other28.parts;
-  ageMs = other28.ageMs;
-  __isset = other28.__isset;
+Crash::Crash(const Crash& other34) {
+  server = other34.server;
+  request = other34.request;
+  parts = other34.parts;
+  ageMs = other34.ageMs;
+  __isset = other34.__isset;
 }
-Crash& Crash::operator=(const Crash& other29) {
-  server = other29.server;
-  request = other29.request;
-  parts = other29.parts;
-  ageMs = other29.ageMs;
-  __isset = other29.__isset;
+Crash& Crash::operator=(const Crash& other35) {
+  server = other35.server;
+  request = other35.request;
+  parts = other35.parts;
+  ageMs = other35.ageMs;
+  __isset = other35.__isset;
   return *this;
 }
 void Crash::printTo(std::ostream& out) const {
@@ -1538,15 +1678,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other30) noexcept {
-  request = other30.request;
-  servers = other30.servers;
-  __isset = other30.__isset;
+Suspect::Suspect(const Suspect& other36) noexcept {
+  request = other36.request;
+  servers = other36.servers;
+  __isset = other36.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other31) noexcept {
-  request = other31.request;
-  servers = other31.servers;
-  __isset = other31.__isset;
+Suspect& Suspect::operator=(const Suspect& other37) noexcept {
+  request = other37.request;
+  servers = other37.servers;
+  __isset = other37.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -1629,6 +1769,14 @@
 void SyncRequest::__set_tenants(const std::vector<TenantUse> & val) {
   this->tenants = val;
 }
+
+void SyncRequest::__set_quotasComplete(const bool val) {
+  this->quotasComplete = val;
+}
+
+void SyncRequest::__set_knownHosts(const int32_t val) {
+  this->knownHosts = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1709,14 +1857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->uses.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->uses.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->uses[_i36].read(iprot);
+              xfer += this->uses[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1729,14 +1877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->models.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->models.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->models[_i41].read(iprot);
+              xfer += this->models[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1749,14 +1897,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->crashes.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->crashes.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->crashes[_i46].read(iprot);
+              xfer += this->crashes[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1777,14 +1925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->completed.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->completed.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->completed[_i51].read(iprot);
+              xfer += this->completed[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1805,14 +1953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->startedParts.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->startedParts.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->startedParts.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += iprot->readI64(this->startedParts[_i56]);
+              xfer += iprot->readI64(this->startedParts[_i62]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1833,14 +1981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->heldParts.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->heldParts.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += iprot->readI64(this->heldParts[_i61]);
+              xfer += iprot->readI64(this->heldParts[_i67]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1861,14 +2009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tenants.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->tenants.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->tenants.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->tenants[_i66].read(iprot);
+              xfer += this->tenants[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1877,6 +2025,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quotasComplete);
+          this->__isset.quotasComplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->knownHosts);
+          this->__isset.knownHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1921,10 +2085,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter67;
-    for (_iter67 = this->uses.begin(); _iter67 != this->uses.end(); ++_iter67)
+    std::vector<ServerUse> ::const_iterator _iter73;
+    for (_iter73 = this->uses.begin(); _iter73 != this->uses.end(); ++_iter73)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1933,10 +2097,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUse> ::const_iterator _iter68;
-    for (_iter68 = this->models.begin(); _iter68 != this->models.end(); ++_iter68)
+    std::vector<ModelUse> ::const_iterator _iter74;
+    for (_iter74 = this->models.begin(); _iter74 != this->models.end(); ++_iter74)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1945,10 +2109,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter69;
-    for (_iter69 = this->crashes.begin(); _iter69 != this->crashes.end(); ++_iter69)
+    std::vector<Crash> ::const_iterator _iter75;
+    for (_iter75 = this->crashes.begin(); _iter75 != this->crashes.end(); ++_iter75)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1961,10 +2125,10 @@
   xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completed.size()));
-    std::vector<Fingerprint> ::const_iterator _iter70;
-    for (_iter70 = this->completed.begin(); _iter70 != this->completed.end(); ++_iter70)
+    std::vector<Fingerprint> ::const_iterator _iter76;
+    for (_iter76 = this->completed.begin(); _iter76 != this->completed.end(); ++_iter76)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1977,10 +2141,10 @@
   xfer += oprot->writeFieldBegin("startedParts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->startedParts.size()));
-    std::vector<int64_t> ::const_iterator _iter71;
-    for (_iter71 = this->startedParts.begin(); _iter71 != this->startedParts.end(); ++_iter71)
+    std::vector<int64_t> ::const_iterator _iter77;
+    for (_iter77 = this->startedParts.begin(); _iter77 != this->startedParts.end(); ++_iter77)
     {
-      xfer += oprot->writeI64((*_iter71));
+      xfer += oprot->writeI64((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1993,10 +2157,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter72;
-    for (_iter72 = this->heldParts.begin(); _iter72 != this->heldParts.end(); ++_iter72)
+    std::vector<int64_t> ::const_iterator _iter78;
+    for (_iter78 = this->heldParts.begin(); _iter78 != this->heldParts.end(); ++_iter78)
     {
-      xfer += oprot->writeI64((*_iter72));
+      xfer += oprot->writeI64((*_iter78));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2009,15 +2173,23 @@
   xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
-    std::vector<TenantUse> ::const_iterator _iter73;
-    for (_iter73 = this->tenants.begin(); _iter73 != this->tenants.end(); ++_iter73)
+    std::vector<TenantUse> ::const_iterator _iter79;
+    for (_iter79 = this->tenants.begin(); _iter79 != this->tenants.end(); ++_iter79)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quotasComplete", ::apache::thrift::protocol::T_BOOL, 30);
+  xfer += oprot->writeBool(this->quotasComplete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("knownHosts", ::apache::thrift::protocol::T_I32, 31);
+  xfer += oprot->writeI32(this->knownHosts);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2042,48 +2214,54 @@
   swap(a.heldParts, b.heldParts);
   swap(a.takesTable, b.takesTable);
   swap(a.tenants, b.tenants);
+  swap(a.quotasComplete, b.quotasComplete);
+  swap(a.knownHosts, b.knownHosts);
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other74) {
-  host = other74.host;
-  failureDomain = other74.failureDomain;
-  instance = other74.instance;
-  epoch = other74.epoch;
-  seen = other74.seen;
-  routesVersion = other74.routesVersion;
-  uses = other74.uses;
-  models = other74.models;
-  crashes = other74.crashes;
-  waitMs = other74.waitMs;
-  completed = other74.completed;
-  takesCompressed = other74.takesCompressed;
-  startedParts = other74.startedParts;
-  starts = other74.starts;
-  heldParts = other74.heldParts;
-  takesTable = other74.takesTable;
-  tenants = other74.tenants;
-  __isset = other74.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other75) {
-  host = other75.host;
-  failureDomain = other75.failureDomain;
-  instance = other75.instance;
-  epoch = other75.epoch;
-  seen = other75.seen;
-  routesVersion = other75.routesVersion;
-  uses = other75.uses;
-  models = other75.models;
-  crashes = other75.crashes;
-  waitMs = other75.waitMs;
-  completed = other75.completed;
-  takesCompressed = other75.takesCompressed;
-  startedParts = other75.startedParts;
-  starts = other75.starts;
-  heldParts = other75.heldParts;
-  takesTable = other75.takesTable;
-  tenants = other75.tenants;
-  __isset = other75.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other80) {
+  host = other80.host;
+  failureDomain = other80.failureDomain;
+  instance = other80.instance;
+  epoch = other80.epoch;
+  seen = other80.seen;
+  routesVersion = other80.routesVersion;
+  uses = other80.uses;
+  models = other80.models;
+  crashes = other80.crashes;
+  waitMs = other80.waitMs;
+  completed = other80.completed;
+  takesCompressed = other80.takesCompressed;
+  startedParts = other80.startedParts;
+  starts = other80.starts;
+  heldParts = other80.heldParts;
+  takesTable = other80.takesTable;
+  tenants = other80.tenants;
+  quotasComplete = other80.quotasComplete;
+  knownHosts = other80.knownHosts;
+  __isset = other80.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other81) {
+  host = other81.host;
+  failureDomain = other81.failureDomain;
+  instance = other81.instance;
+  epoch = other81.epoch;
+  seen = other81.seen;
+  routesVersion = other81.routesVersion;
+  uses = other81.uses;
+  models = other81.models;
+  crashes = other81.crashes;
+  waitMs = other81.waitMs;
+  completed = other81.completed;
+  takesCompressed = other81.takesCompressed;
+  startedParts = other81.startedParts;
+  starts = other81.starts;
+  heldParts = other81.heldParts;
+  takesTable = other81.takesTable;
+  tenants = other81.tenants;
+  quotasComplete = other81.quotasComplete;
+  knownHosts = other81.knownHosts;
+  __isset = other81.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -2106,6 +2284,8 @@
   out << ", " << "heldParts=" << to_string(heldParts);
   out << ", " << "takesTable=" << to_string(takesTable);
   out << ", " << "tenants=" << to_string(tenants);
+  out << ", " << "quotasComplete=" << to_string(quotasComplete);
+  out << ", " << "knownHosts=" << to_string(knownHosts);
   out << ")";
 }
 
@@ -2265,14 +2445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->models.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->models.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readString(this->models[_i80]);
+              xfer += iprot->readString(this->models[_i86]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2309,14 +2489,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->coming.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->coming.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readString(this->coming[_i85]);
+              xfer += iprot->readString(this->coming[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2425,10 +2605,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->models.begin(); _iter86 != this->models.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter92;
+    for (_iter92 = this->models.begin(); _iter92 != this->models.end(); ++_iter92)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter92));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2449,10 +2629,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter87;
-    for (_iter87 = this->coming.begin(); _iter87 != this->coming.end(); ++_iter87)
+    std::vector<std::string> ::const_iterator _iter93;
+    for (_iter93 = this->coming.begin(); _iter93 != this->coming.end(); ++_iter93)
     {
-      xfer += oprot->writeString((*_iter87));
+      xfer += oprot->writeString((*_iter93));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2514,47 +2694,47 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRow::ServerRow(const ServerRow& other88) {
-  server = other88.server;
-  address = other88.address;
-  serviceName = other88.serviceName;
-  failureDomain = other88.failureDomain;
-  state = other88.state;
-  slots = other88.slots;
-  models = other88.models;
-  inFlight = other88.inFlight;
-  tokens = other88.tokens;
-  suspect = other88.suspect;
-  coming = other88.coming;
-  memoryTokens = other88.memoryTokens;
-  speedPercent = other88.speedPercent;
-  tokenNanos = other88.tokenNanos;
-  unreadTokens = other88.unreadTokens;
-  rateLimitMilli = other88.rateLimitMilli;
-  pacePercent = other88.pacePercent;
-  queued = other88.queued;
-  __isset = other88.__isset;
-}
-ServerRow& ServerRow::operator=(const ServerRow& other89) {
-  server = other89.server;
-  address = other89.address;
-  serviceName = other89.serviceName;
-  failureDomain = other89.failureDomain;
-  state = other89.state;
-  slots = other89.slots;
-  models = other89.models;
-  inFlight = other89.inFlight;
-  tokens = other89.tokens;
-  suspect = other89.suspect;
-  coming = other89.coming;
-  memoryTokens = other89.memoryTokens;
-  speedPercent = other89.speedPercent;
-  tokenNanos = other89.tokenNanos;
-  unreadTokens = other89.unreadTokens;
-  rateLimitMilli = other89.rateLimitMilli;
-  pacePercent = other89.pacePercent;
-  queued = other89.queued;
-  __isset = other89.__isset;
+ServerRow::ServerRow(const ServerRow& other94) {
+  server = other94.server;
+  address = other94.address;
+  serviceName = other94.serviceName;
+  failureDomain = other94.failureDomain;
+  state = other94.state;
+  slots = other94.slots;
+  models = other94.models;
+  inFlight = other94.inFlight;
+  tokens = other94.tokens;
+  suspect = other94.suspect;
+  coming = other94.coming;
+  memoryTokens = other94.memoryTokens;
+  speedPercent = other94.speedPercent;
+  tokenNanos = other94.tokenNanos;
+  unreadTokens = other94.unreadTokens;
+  rateLimitMilli = other94.rateLimitMilli;
+  pacePercent = other94.pacePercent;
+  queued = other94.queued;
+  __isset = other94.__isset;
+}
+ServerRow& ServerRow::operator=(const ServerRow& other95) {
+  server = other95.server;
+  address = other95.address;
+  serviceName = other95.serviceName;
+  failureDomain = other95.failureDomain;
+  state = other95.state;
+  slots = other95.slots;
+  models = other95.models;
+  inFlight = other95.inFlight;
+  tokens = other95.tokens;
+  suspect = other95.suspect;
+  coming = other95.coming;
+  memoryTokens = other95.memoryTokens;
+  speedPercent = other95.speedPercent;
+  tokenNanos = other95.tokenNanos;
+  unreadTokens = other95.unreadTokens;
+  rateLimitMilli = other95.rateLimitMilli;
+  pacePercent = other95.pacePercent;
+  queued = other95.queued;
+  __isset = other95.__isset;
   return *this;
 }
 void ServerRow::printTo(std::ostream& out) const {
@@ -2793,29 +2973,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLoad::ServerLoad(const ServerLoad& other90) {
-  server = other90.server;
-  inFlight = other90.inFlight;
-  tokens = other90.tokens;
-  suspect = other90.suspect;
-  speedPercent = other90.speedPercent;
-  tokenNanos = other90.tokenNanos;
-  unreadTokens = other90.unreadTokens;
-  pacePercent = other90.pacePercent;
-  queued = other90.queued;
-  __isset = other90.__isset;
-}
-ServerLoad& ServerLoad::operator=(const ServerLoad& other91) {
-  server = other91.server;
-  inFlight = other91.inFlight;
-  tokens = other91.tokens;
-  suspect = other91.suspect;
-  speedPercent = other91.speedPercent;
-  tokenNanos = other91.tokenNanos;
-  unreadTokens = other91.unreadTokens;
-  pacePercent = other91.pacePercent;
-  queued = other91.queued;
-  __isset = other91.__isset;
+ServerLoad::ServerLoad(const ServerLoad& other96) {
+  server = other96.server;
+  inFlight = other96.inFlight;
+  tokens = other96.tokens;
+  suspect = other96.suspect;
+  speedPercent = other96.speedPercent;
+  tokenNanos = other96.tokenNanos;
+  unreadTokens = other96.unreadTokens;
+  pacePercent = other96.pacePercent;
+  queued = other96.queued;
+  __isset = other96.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other97) {
+  server = other97.server;
+  inFlight = other97.inFlight;
+  tokens = other97.tokens;
+  suspect = other97.suspect;
+  speedPercent = other97.speedPercent;
+  tokenNanos = other97.tokenNanos;
+  unreadTokens = other97.unreadTokens;
+  pacePercent = other97.pacePercent;
+  queued = other97.queued;
+  __isset = other97.__isset;
   return *this;
 }
 void ServerLoad::printTo(std::ostream& out) const {
@@ -2873,14 +3053,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->rows.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->rows.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->rows[_i96].read(iprot);
+              xfer += this->rows[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2909,10 +3089,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter97;
-    for (_iter97 = this->rows.begin(); _iter97 != this->rows.end(); ++_iter97)
+    std::vector<ServerRow> ::const_iterator _iter103;
+    for (_iter103 = this->rows.begin(); _iter103 != this->rows.end(); ++_iter103)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2929,13 +3109,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerTable::ServerTable(const ServerTable& other98) {
-  rows = other98.rows;
-  __isset = other98.__isset;
+ServerTable::ServerTable(const ServerTable& other104) {
+  rows = other104.rows;
+  __isset = other104.__isset;
 }
-ServerTable& ServerTable::operator=(const ServerTable& other99) {
-  rows = other99.rows;
-  __isset = other99.__isset;
+ServerTable& ServerTable::operator=(const ServerTable& other105) {
+  rows = other105.rows;
+  __isset = other105.__isset;
   return *this;
 }
 void ServerTable::printTo(std::ostream& out) const {
@@ -3038,15 +3218,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RateGrant::RateGrant(const RateGrant& other100) {
-  server = other100.server;
-  requests = other100.requests;
-  __isset = other100.__isset;
+RateGrant::RateGrant(const RateGrant& other106) {
+  server = other106.server;
+  requests = other106.requests;
+  __isset = other106.__isset;
 }
-RateGrant& RateGrant::operator=(const RateGrant& other101) {
-  server = other101.server;
-  requests = other101.requests;
-  __isset = other101.__isset;
+RateGrant& RateGrant::operator=(const RateGrant& other107) {
+  server = other107.server;
+  requests = other107.requests;
+  __isset = other107.__isset;
   return *this;
 }
 void RateGrant::printTo(std::ostream& out) const {
@@ -3150,15 +3330,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other102) {
-  model = other102.model;
-  readyInMs = other102.readyInMs;
-  __isset = other102.__isset;
+ComingModel::ComingModel(const ComingModel& other108) {
+  model = other108.model;
+  readyInMs = other108.readyInMs;
+  __isset = other108.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other103) {
-  model = other103.model;
-  readyInMs = other103.readyInMs;
-  __isset = other103.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other109) {
+  model = other109.model;
+  readyInMs = other109.readyInMs;
+  __isset = other109.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -3329,14 +3509,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->rows.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->rows.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->rows[_i108].read(iprot);
+              xfer += this->rows[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3365,14 +3545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->members.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->members.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += iprot->readString(this->members[_i113]);
+              xfer += iprot->readString(this->members[_i119]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3393,14 +3573,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->coming.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->coming.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->coming[_i118].read(iprot);
+              xfer += this->coming[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3413,14 +3593,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->suspects.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->suspects.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->suspects[_i123].read(iprot);
+              xfer += this->suspects[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3433,14 +3613,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->loads.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->loads.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->loads[_i128].read(iprot);
+              xfer += this->loads[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3469,14 +3649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->heldParts.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->heldParts.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readI64(this->heldParts[_i133]);
+              xfer += iprot->readI64(this->heldParts[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3497,14 +3677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->grants.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->grants.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->grants[_i138].read(iprot);
+              xfer += this->grants[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3533,14 +3713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tenants.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->tenants.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->tenants.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += this->tenants[_i143].read(iprot);
+              xfer += this->tenants[_i149].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3589,10 +3769,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter144;
-    for (_iter144 = this->rows.begin(); _iter144 != this->rows.end(); ++_iter144)
+    std::vector<ServerRow> ::const_iterator _iter150;
+    for (_iter150 = this->rows.begin(); _iter150 != this->rows.end(); ++_iter150)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3609,10 +3789,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter145;
-    for (_iter145 = this->members.begin(); _iter145 != this->members.end(); ++_iter145)
+    std::vector<std::string> ::const_iterator _iter151;
+    for (_iter151 = this->members.begin(); _iter151 != this->members.end(); ++_iter151)
     {
-      xfer += oprot->writeString((*_iter145));
+      xfer += oprot->writeString((*_iter151));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3625,10 +3805,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter146;
-    for (_iter146 = this->coming.begin(); _iter146 != this->coming.end(); ++_iter146)
+    std::vector<ComingModel> ::const_iterator _iter152;
+    for (_iter152 = this->coming.begin(); _iter152 != this->coming.end(); ++_iter152)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3637,10 +3817,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter147;
-    for (_iter147 = this->suspects.begin(); _iter147 != this->suspects.end(); ++_iter147)
+    std::vector<Suspect> ::const_iterator _iter153;
+    for (_iter153 = this->suspects.begin(); _iter153 != this->suspects.end(); ++_iter153)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3649,10 +3829,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter148;
-    for (_iter148 = this->loads.begin(); _iter148 != this->loads.end(); ++_iter148)
+    std::vector<ServerLoad> ::const_iterator _iter154;
+    for (_iter154 = this->loads.begin(); _iter154 != this->loads.end(); ++_iter154)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3669,10 +3849,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter149;
-    for (_iter149 = this->heldParts.begin(); _iter149 != this->heldParts.end(); ++_iter149)
+    std::vector<int64_t> ::const_iterator _iter155;
+    for (_iter155 = this->heldParts.begin(); _iter155 != this->heldParts.end(); ++_iter155)
     {
-      xfer += oprot->writeI64((*_iter149));
+      xfer += oprot->writeI64((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3685,10 +3865,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<RateGrant> ::const_iterator _iter150;
-    for (_iter150 = this->grants.begin(); _iter150 != this->grants.end(); ++_iter150)
+    std::vector<RateGrant> ::const_iterator _iter156;
+    for (_iter156 = this->grants.begin(); _iter156 != this->grants.end(); ++_iter156)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3705,10 +3885,10 @@
   xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
-    std::vector<TenantGrant> ::const_iterator _iter151;
-    for (_iter151 = this->tenants.begin(); _iter151 != this->tenants.end(); ++_iter151)
+    std::vector<TenantGrant> ::const_iterator _iter157;
+    for (_iter157 = this->tenants.begin(); _iter157 != this->tenants.end(); ++_iter157)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3745,53 +3925,53 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other152) {
-  leader = other152.leader;
-  leaderAddress = other152.leaderAddress;
-  epoch = other152.epoch;
-  seen = other152.seen;
-  complete = other152.complete;
-  rows = other152.rows;
-  routesVersion = other152.routesVersion;
-  routes = other152.routes;
-  members = other152.members;
-  hosts = other152.hosts;
-  coming = other152.coming;
-  suspects = other152.suspects;
-  loads = other152.loads;
-  compressedRoutes = other152.compressedRoutes;
-  routesBytes = other152.routesBytes;
-  heldParts = other152.heldParts;
-  crashEpoch = other152.crashEpoch;
-  grants = other152.grants;
-  compressedTable = other152.compressedTable;
-  tableBytes = other152.tableBytes;
-  tenants = other152.tenants;
-  __isset = other152.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other153) {
-  leader = other153.leader;
-  leaderAddress = other153.leaderAddress;
-  epoch = other153.epoch;
-  seen = other153.seen;
-  complete = other153.complete;
-  rows = other153.rows;
-  routesVersion = other153.routesVersion;
-  routes = other153.routes;
-  members = other153.members;
-  hosts = other153.hosts;
-  coming = other153.coming;
-  suspects = other153.suspects;
-  loads = other153.loads;
-  compressedRoutes = other153.compressedRoutes;
-  routesBytes = other153.routesBytes;
-  heldParts = other153.heldParts;
-  crashEpoch = other153.crashEpoch;
-  grants = other153.grants;
-  compressedTable = other153.compressedTable;
-  tableBytes = other153.tableBytes;
-  tenants = other153.tenants;
-  __isset = other153.__isset;
+SyncReply::SyncReply(const SyncReply& other158) {
+  leader = other158.leader;
+  leaderAddress = other158.leaderAddress;
+  epoch = other158.epoch;
+  seen = other158.seen;
+  complete = other158.complete;
+  rows = other158.rows;
+  routesVersion = other158.routesVersion;
+  routes = other158.routes;
+  members = other158.members;
+  hosts = other158.hosts;
+  coming = other158.coming;
+  suspects = other158.suspects;
+  loads = other158.loads;
+  compressedRoutes = other158.compressedRoutes;
+  routesBytes = other158.routesBytes;
+  heldParts = other158.heldParts;
+  crashEpoch = other158.crashEpoch;
+  grants = other158.grants;
+  compressedTable = other158.compressedTable;
+  tableBytes = other158.tableBytes;
+  tenants = other158.tenants;
+  __isset = other158.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other159) {
+  leader = other159.leader;
+  leaderAddress = other159.leaderAddress;
+  epoch = other159.epoch;
+  seen = other159.seen;
+  complete = other159.complete;
+  rows = other159.rows;
+  routesVersion = other159.routesVersion;
+  routes = other159.routes;
+  members = other159.members;
+  hosts = other159.hosts;
+  coming = other159.coming;
+  suspects = other159.suspects;
+  loads = other159.loads;
+  compressedRoutes = other159.compressedRoutes;
+  routesBytes = other159.routesBytes;
+  heldParts = other159.heldParts;
+  crashEpoch = other159.crashEpoch;
+  grants = other159.grants;
+  compressedTable = other159.compressedTable;
+  tableBytes = other159.tableBytes;
+  tenants = other159.tenants;
+  __isset = other159.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -3948,19 +4128,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other154) {
-  address = other154.address;
-  failureDomain = other154.failureDomain;
-  disk = other154.disk;
-  member = other154.member;
-  __isset = other154.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other160) {
+  address = other160.address;
+  failureDomain = other160.failureDomain;
+  disk = other160.disk;
+  member = other160.member;
+  __isset = other160.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other155) {
-  address = other155.address;
-  failureDomain = other155.failureDomain;
-  disk = other155.disk;
-  member = other155.member;
-  __isset = other155.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other161) {
+  address = other161.address;
+  failureDomain = other161.failureDomain;
+  disk = other161.disk;
+  member = other161.member;
+  __isset = other161.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -4053,14 +4233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->members.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->members.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += iprot->readString(this->members[_i160]);
+              xfer += iprot->readString(this->members[_i166]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4073,14 +4253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->memberIds.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->memberIds.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += iprot->readI32(this->memberIds[_i165]);
+              xfer += iprot->readI32(this->memberIds[_i171]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4121,10 +4301,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter166;
-    for (_iter166 = this->members.begin(); _iter166 != this->members.end(); ++_iter166)
+    std::vector<std::string> ::const_iterator _iter172;
+    for (_iter172 = this->members.begin(); _iter172 != this->members.end(); ++_iter172)
     {
-      xfer += oprot->writeString((*_iter166));
+      xfer += oprot->writeString((*_iter172));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4133,10 +4313,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter167;
-    for (_iter167 = this->memberIds.begin(); _iter167 != this->memberIds.end(); ++_iter167)
+    std::vector<int32_t> ::const_iterator _iter173;
+    for (_iter173 = this->memberIds.begin(); _iter173 != this->memberIds.end(); ++_iter173)
     {
-      xfer += oprot->writeI32((*_iter167));
+      xfer += oprot->writeI32((*_iter173));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4157,21 +4337,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other168) {
-  leader = other168.leader;
-  leaderAddress = other168.leaderAddress;
-  member = other168.member;
-  members = other168.members;
-  memberIds = other168.memberIds;
-  __isset = other168.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other169) {
-  leader = other169.leader;
-  leaderAddress = other169.leaderAddress;
-  member = other169.member;
-  members = other169.members;
-  memberIds = other169.memberIds;
-  __isset = other169.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other174) {
+  leader = other174.leader;
+  leaderAddress = other174.leaderAddress;
+  member = other174.member;
+  members = other174.members;
+  memberIds = other174.memberIds;
+  __isset = other174.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other175) {
+  leader = other175.leader;
+  leaderAddress = other175.leaderAddress;
+  member = other175.member;
+  members = other175.members;
+  memberIds = other175.memberIds;
+  __isset = other175.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
--- a/gen/fleet_types.h
+++ b/gen/fleet_types.h
@@ -235,7 +235,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerUse& obj);
 
 typedef struct _TenantUse__isset {
-  _TenantUse__isset() : tenant(false), spent(false), wanted(false), credit(false), refused(false), running(false), waiting(false) {}
+  _TenantUse__isset() : tenant(false), spent(false), wanted(false), credit(false), refused(false), running(false), waiting(false), quota(false), requests(false), reserved(false), recent(false) {}
   bool tenant :1;
   bool spent :1;
   bool wanted :1;
@@ -243,6 +243,10 @@
   bool refused :1;
   bool running :1;
   bool waiting :1;
+  bool quota :1;
+  bool requests :1;
+  bool reserved :1;
+  bool recent :1;
 } _TenantUse__isset;
 
 class TenantUse : public virtual ::apache::thrift::TBase {
@@ -257,7 +261,10 @@
               credit(0),
               refused(0),
               running(0),
-              waiting(0) {
+              waiting(0),
+              quota(0),
+              requests(0),
+              reserved(0) {
   }
 
   virtual ~TenantUse() noexcept;
@@ -268,6 +275,10 @@
   int32_t refused;
   int32_t running;
   int32_t waiting;
+  bool quota;
+  int32_t requests;
+  int64_t reserved;
+  std::vector<int64_t>  recent;
 
   _TenantUse__isset __isset;
 
@@ -285,6 +296,14 @@
 
   void __set_waiting(const int32_t val);
 
+  void __set_quota(const bool val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_reserved(const int64_t val);
+
+  void __set_recent(const std::vector<int64_t> & val);
+
   bool operator == (const TenantUse & rhs) const
   {
     if (!(tenant == rhs.tenant))
@@ -301,6 +320,14 @@
       return false;
     if (!(waiting == rhs.waiting))
       return false;
+    if (!(quota == rhs.quota))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(reserved == rhs.reserved))
+      return false;
+    if (!(recent == rhs.recent))
+      return false;
     return true;
   }
   bool operator != (const TenantUse &rhs) const {
@@ -320,13 +347,15 @@
 std::ostream& operator<<(std::ostream& out, const TenantUse& obj);
 
 typedef struct _TenantGrant__isset {
-  _TenantGrant__isset() : tenant(false), metered(false), credit(false), fallbackMilli(false), retryAfterMs(false), sharePercent(false) {}
+  _TenantGrant__isset() : tenant(false), metered(false), credit(false), fallbackMilli(false), retryAfterMs(false), sharePercent(false), quota(false), fallbackCreditMilli(false) {}
   bool tenant :1;
   bool metered :1;
   bool credit :1;
   bool fallbackMilli :1;
   bool retryAfterMs :1;
   bool sharePercent :1;
+  bool quota :1;
+  bool fallbackCreditMilli :1;
 } _TenantGrant__isset;
 
 class TenantGrant : public virtual ::apache::thrift::TBase {
@@ -340,7 +369,9 @@
                 credit(0),
                 fallbackMilli(0),
                 retryAfterMs(0),
-                sharePercent(0) {
+                sharePercent(0),
+                quota(0),
+                fallbackCreditMilli(0) {
   }
 
   virtual ~TenantGrant() noexcept;
@@ -350,6 +381,8 @@
   int64_t fallbackMilli;
   int32_t retryAfterMs;
   int32_t sharePercent;
+  bool quota;
+  int64_t fallbackCreditMilli;
 
   _TenantGrant__isset __isset;
 
@@ -365,6 +398,10 @@
 
   void __set_sharePercent(const int32_t val);
 
+  void __set_quota(const bool val);
+
+  void __set_fallbackCreditMilli(const int64_t val);
+
   bool operator == (const TenantGrant & rhs) const
   {
     if (!(tenant == rhs.tenant))
@@ -379,6 +416,10 @@
       return false;
     if (!(sharePercent == rhs.sharePercent))
       return false;
+    if (!(quota == rhs.quota))
+      return false;
+    if (!(fallbackCreditMilli == rhs.fallbackCreditMilli))
+      return false;
     return true;
   }
   bool operator != (const TenantGrant &rhs) const {
@@ -644,7 +685,7 @@
 std::ostream& operator<<(std::ostream& out, const Suspect& obj);
 
 typedef struct _SyncRequest__isset {
-  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false), startedParts(false), starts(false), heldParts(false), takesTable(false), tenants(false) {}
+  _SyncRequest__isset() : host(false), failureDomain(false), instance(false), epoch(false), seen(false), routesVersion(false), uses(false), models(false), crashes(false), waitMs(false), completed(false), takesCompressed(false), startedParts(false), starts(false), heldParts(false), takesTable(false), tenants(false), quotasComplete(false), knownHosts(false) {}
   bool host :1;
   bool failureDomain :1;
   bool instance :1;
@@ -662,6 +703,8 @@
   bool heldParts :1;
   bool takesTable :1;
   bool tenants :1;
+  bool quotasComplete :1;
+  bool knownHosts :1;
 } _SyncRequest__isset;
 
 class SyncRequest : public virtual ::apache::thrift::TBase {
@@ -679,7 +722,9 @@
                 waitMs(0),
                 takesCompressed(0),
                 starts(0),
-                takesTable(0) {
+                takesTable(0),
+                quotasComplete(0),
+                knownHosts(0) {
   }
 
   virtual ~SyncRequest() noexcept;
@@ -700,6 +745,8 @@
   std::vector<int64_t>  heldParts;
   bool takesTable;
   std::vector<TenantUse>  tenants;
+  bool quotasComplete;
+  int32_t knownHosts;
 
   _SyncRequest__isset __isset;
 
@@ -737,6 +784,10 @@
 
   void __set_tenants(const std::vector<TenantUse> & val);
 
+  void __set_quotasComplete(const bool val);
+
+  void __set_knownHosts(const int32_t val);
+
   bool operator == (const SyncRequest & rhs) const
   {
     if (!(host == rhs.host))
@@ -773,6 +824,10 @@
       return false;
     if (!(tenants == rhs.tenants))
       return false;
+    if (!(quotasComplete == rhs.quotasComplete))
+      return false;
+    if (!(knownHosts == rhs.knownHosts))
+      return false;
     return true;
   }
   bool operator != (const SyncRequest &rhs) const {
--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -36,6 +36,10 @@
   5: i32 refused         // requests refused for the quota
   6: i32 running         // requests in flight now
   7: i32 waiting         // requests that wait for a server now
+  8: bool quota          // the fields up to 5 and those below are set
+  9: i32 requests        // passed on since the last call
+  10: i64 reserved       // by requests that were admitted and not passed on yet
+  11: list<i64> recent   // spent in each of the last seconds, the newest first; only after a time without grants
 }
 
 // What a host may do for a tenant until its next call.
@@ -46,6 +50,8 @@
   4: i64 fallbackMilli   // units in 1,000 s that the host may pass on without contact
   5: i32 retryAfterMs    // until a refused request can be served; 0: not known
   6: i32 sharePercent    // use of scarce servers against the tenant's fair share; 0: not known
+  7: bool quota          // the fields up to 5 and those below are set
+  8: i64 fallbackCreditMilli // thousandths of units that it may pass on beside fallbackMilli when it loses contact
 }
 
 struct ModelUse {
@@ -97,6 +103,8 @@
   15: list<i64> heldParts // told by an earlier leader
   16: bool takesTable    // all rows may be answered in compressedTable
   17: list<TenantUse> tenants
+  30: bool quotasComplete // tenants hold all that a new leader must know of this host
+  31: i32 knownHosts     // as the last answer said; 0: not known
 }
 
 struct ServerRow {
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -30,6 +31,8 @@
 constexpr std::chrono::seconds kTestTimeout{ 10 };
 constexpr std::chrono::milliseconds kTeardownTime{ 100 };
 constexpr std::int32_t kServerSlots = 4;
+/// Time until the quota of FakeFleet has room again.
+constexpr std::int32_t kQuotaRetryMs = 2500;
 /// Between two events of StartServersOfBrokenStreams.
 constexpr std::chrono::milliseconds kEventInterval{ 900 };
 
@@ -81,6 +84,7 @@
         aReply.grants.back().requests = granted;
       }
     }
+    GrantQuotas(aRequest, aReply);
     aReply.leader = isLeader_;
     aReply.epoch = 1;
     aReply.crashEpoch = crashEpoch_;
@@ -178,6 +182,25 @@
     return reportedRateLimit_;
   }
 
+  /// Units of tenants' quotas that hosts may still spend; nullopt: the leader
+  /// does not know yet.
+  void SetQuota(std::optional<std::int64_t> aUnits)
+  {
+    const std::lock_guard lock(mutex_);
+    quotaLeft_ = aUnits;
+  }
+  /// What the hosts have spent and what they have admitted and not spent.
+  std::int64_t QuotaSpent()
+  {
+    const std::lock_guard lock(mutex_);
+    return quotaSpent_;
+  }
+  std::int64_t QuotaReserved()
+  {
+    const std::lock_guard lock(mutex_);
+    return quotaReserved_;
+  }
+
   void SetLeader(bool aIsLeader)
   {
     const std::lock_guard lock(mutex_);
@@ -185,7 +208,30 @@
   }
 
 private:
+  /// Grants what requests wait for.
+  void GrantQuotas(const wire::SyncRequest& aRequest, wire::SyncReply& aReply)
+  {
+    for (const wire::TenantUse& use : aRequest.tenants) {
+      quotaSpent_ += use.spent;
+      quotaReserved_ = use.reserved;
+    }
+    if (!quotaLeft_) {
+      return;
+    }
+    wire::TenantGrant& grant = aReply.tenants.emplace_back();
+    grant.tenant = "t";
+    grant.quota = true;
+    for (const wire::TenantUse& use : aRequest.tenants) {
+      grant.credit = std::min(use.wanted, *quotaLeft_);
+      *quotaLeft_ -= grant.credit;
+    }
+    grant.retryAfterMs = *quotaLeft_ > 0 ? 0 : kQuotaRetryMs;
+  }
+
   std::mutex mutex_;
+  std::optional<std::int64_t> quotaLeft_;
+  std::int64_t quotaSpent_ = 0;
+  std::int64_t quotaReserved_ = 0;
   wire::SyncReply reply_;
   std::vector<wire::Crash> crashes_;
   std::set<std::int64_t> startedParts_;
@@ -242,6 +288,8 @@
   std::string callerAddress_ = "127.0.0.1:" + std::to_string(tests::FreePort());
   entry::GatewaySettings settings_;
   int arrivals_ = 0;
+  /// To be set before the loop runs.
+  admission::TenantDirectory tenants_;
 
   GatewayFixture()
   {
@@ -256,11 +304,13 @@
       "127.0.0.1:" + std::to_string(tests::FreePort());
     settings_.seeds_ = { "127.0.0.1:" + std::to_string(rpc.port_) };
     settings_.retries_ = { 0.2, 50, 10s };
-    settings_.headers_ = { "Id",      "Deadline", "Expect-Server", "Not-Run",
-                           "Stamp",   "Model",    "Tokens",        "Parts",
-                           "Urgency", "Last-Id",  { "Secret" },    "Limit",
-                           "Leaving" };
-    settings_.parseRoutes_ = [](const std::string&) {
+    settings_.headers_ = { "Id",      "Deadline",      "Expect-Server",
+                           "Not-Run", "Stamp",         "Model",
+                           "Tokens",  "Parts",         "Urgency",
+                           "Last-Id", { "Secret" },    "Limit",
+                           "Leaving", "Authorization", "Tenant",
+                           "" };
+    settings_.parseRoutes_ = [this](const std::string&) {
       using coordination::RequestKind;
       return core::Result<coordination::RouteTable>(coordination::RouteTable(
         1,
@@ -273,7 +323,8 @@
             { coordination::ServiceName("desk"), 9, std::nullopt } },
           { coordination::ServiceName("llm"),
             { coordination::ServiceName("llm"), 9, MakeEngine() } } },
-        {}));
+        {},
+        tenants_));
     };
     gateway_ = std::make_unique<entry::Gateway>(loop_, settings_, clock_);
     BOOST_REQUIRE(gateway_->Start().Ok());
