--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -124,6 +124,7 @@
   table_ = {};
   lines_ = {};
   rateGrants_ = {};
+  quotas_ = admission::QuotaLedger(settings_.quotaBound_);
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
@@ -167,6 +168,7 @@
   }
   limits_ = std::move(services.Value());
   placement_.SetLimits(limits_);
+  TakeQuotas(text);
 }
 
 bool
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -2,6 +2,8 @@
 
 #include "admission/FleetLines.hpp"
 #include "admission/QuotaBound.hpp"
+#include "admission/QuotaLedger.hpp"
+#include "admission/Tenants.hpp"
 #include "control/BackendPort.hpp"
 #include "control/GroupHost.hpp"
 #include "coordination/CrashGuard.hpp"
@@ -28,6 +30,11 @@
 
 namespace crocusslip::control {
 
+/// Reads the quotas of tenants out of the published table of routes.
+using ReadQuotas =
+  std::function<core::Result<std::map<admission::TenantName, admission::Quota>>(
+    const std::string&)>;
+
 struct FleetControllerSettings
 {
   /// Name under which orders are given.
@@ -39,6 +46,8 @@
   /// they have accepted.
   bool fencingEnforced_ = false;
   admission::QuotaBound quotaBound_;
+  /// Without it no quota is kept.
+  ReadQuotas readQuotas_;
 };
 
 /// Reads the limits of services out of the published table of routes.
@@ -161,6 +170,12 @@
   void TakeReport(const wire::SyncRequest& aRequest, core::MonotonicTime aNow);
   /// Logs the moment from which all hosts have the newest routes.
   void RecordRoutesTaken(const wire::SyncRequest& aRequest);
+  void TakeQuotas(const std::string& aRoutes);
+  void TakeQuotaUses(const wire::SyncRequest& aRequest,
+                     core::MonotonicTime aNow);
+  void FillQuotaGrants(const wire::SyncRequest& aRequest,
+                       wire::SyncReply& aReply,
+                       core::MonotonicTime aNow);
   /// Grants what the host wants of servers with a rate limit; false if nothing
   /// is granted.
   bool GrantRequests(const wire::SyncRequest& aRequest,
@@ -239,6 +254,7 @@
   /// Requests that wait, by model.
   admission::FleetLines lines_;
   coordination::RateGrants rateGrants_;
+  admission::QuotaLedger quotas_{ admission::QuotaBound{} };
   coordination::ModelPlacement placement_;
   /// Kept over terms.
   coordination::UnansweredOrders unanswered_;
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -36,6 +36,8 @@
   bool CanStillGetSlot() const { return SlotDeadline().has_value(); }
   /// Called when the deadline for a server slot may have changed.
   void RecheckDeadline() { timer_.cancel(); }
+  /// Called by the gateway when the call no longer waits for credit.
+  void OnQuotaVerdict(admission::QuotaGate::Verdict aVerdict);
   /// Answers the caller at once, unless a stream has begun: the process ends.
   void GiveUp();
 
@@ -76,6 +78,15 @@
   /// Whether servers identify callers by this header.
   bool IdentifiesCaller(std::string_view aHeader) const;
   transport::Task<void> AwaitRoutes();
+  /// Takes the request's units out of its tenant's quota. False if there are
+  /// none.
+  transport::Task<bool> AwaitQuota();
+  /// The request is sent to a server, once more if it was before.
+  void ChargeQuota();
+  /// It did not run there.
+  void ReturnQuota();
+  /// Gives back the units of a request that was admitted and not sent.
+  void ReleaseQuota();
   transport::Task<void> Forward();
   transport::Task<bool> AwaitSlot();
   /// Whether the request is held back for a part of its prompt.
@@ -157,6 +168,17 @@
   const admission::Tenant* tenant_ = nullptr;
   /// The table that tenant_ is of, if it is newer than routes_.
   std::shared_ptr<const coordination::RouteTable> tenantRoutes_;
+  /// Whether the request's units are taken out of its tenant's quota, and
+  /// whether they count as spent.
+  enum class QuotaState : std::uint8_t
+  {
+    None,
+    Reserved,
+    Spent,
+  };
+  QuotaState quotaState_ = QuotaState::None;
+  double quotaCost_ = 0;
+  std::optional<admission::QuotaGate::Verdict> quotaVerdict_;
   /// 0 is the most urgent.
   std::uint32_t rank_ = 0;
   coordination::BackendRequirements requirements_;
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -201,6 +201,7 @@
   if (reportHeldParts_) {
     request.heldParts = ToWireParts(heldParts_);
   }
+  ReportQuotas(request);
   return request;
 }
 
@@ -208,6 +209,7 @@
 Gateway::ApplySyncReply(const wire::SyncReply& aReply)
 {
   ApplyRoutes(aReply);
+  ApplyQuotas(aReply);
   ApplySuspects(aReply);
   ApplyServerRows(aReply);
   if (aReply.hosts > 0 && hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
--- a/gen/fleet_types.cpp
+++ b/gen/fleet_types.cpp
@@ -577,6 +577,22 @@
 void TenantUse::__set_waiting(const int32_t val) {
   this->waiting = val;
 }
+
+void TenantUse::__set_quota(const bool val) {
+  this->quota = val;
+}
+
+void TenantUse::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void TenantUse::__set_reserved(const int64_t val) {
+  this->reserved = val;
+}
+
+void TenantUse::__set_recent(const std::vector<int64_t> & val) {
+  this->recent = val;
+}
 std::ostream& operator<<(std::ostream& out, const TenantUse& obj)
 {
   obj.printTo(out);
@@ -661,6 +677,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quota);
+          this->__isset.quota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reserved);
+          this->__isset.reserved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->recent.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->recent.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI64(this->recent[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.recent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -706,6 +766,30 @@
   xfer += oprot->writeI32(this->waiting);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quota", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->quota);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserved", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->reserved);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recent", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->recent.size()));
+    std::vector<int64_t> ::const_iterator _iter19;
+    for (_iter19 = this->recent.begin(); _iter19 != this->recent.end(); ++_iter19)
+    {
+      xfer += oprot->writeI64((*_iter19));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -720,28 +804,40 @@
   swap(a.refused, b.refused);
   swap(a.running, b.running);
   swap(a.waiting, b.waiting);
+  swap(a.quota, b.quota);
+  swap(a.requests, b.requests);
+  swap(a.reserved, b.reserved);
+  swap(a.recent, b.recent);
   swap(a.__isset, b.__isset);
 }
 
-TenantUse::TenantUse(const TenantUse& other14) {
-  tenant = other14.tenant;
-  spent = other14.spent;
-  wanted = other14.wanted;
-  credit = other14.credit;
-  refused = other14.refused;
-  running = other14.running;
-  waiting = other14.waiting;
-  __isset = other14.__isset;
-}
-TenantUse& TenantUse::operator=(const TenantUse& other15) {
-  tenant = other15.tenant;
-  spent = other15.spent;
-  wanted = other15.wanted;
-  credit = other15.credit;
-  refused = other15.refused;
-  running = other15.running;
-  waiting = other15.waiting;
-  __isset = other15.__isset;
+TenantUse::TenantUse(const TenantUse& other20) {
+  tenant = other20.tenant;
+  spent = other20.spent;
+  wanted = other20.wanted;
+  credit = other20.credit;
+  refused = other20.refused;
+  running = other20.running;
+  waiting = other20.waiting;
+  quota = other20.quota;
+  requests = other20.requests;
+  reserved = other20.reserved;
+  recent = other20.recent;
+  __isset = other20.__isset;
+}
+TenantUse& TenantUse::operator=(const TenantUse& other21) {
+  tenant = other21.tenant;
+  spent = other21.spent;
+  wanted = other21.wanted;
+  credit = other21.credit;
+  refused = other21.refused;
+  running = other21.running;
+  waiting = other21.waiting;
+  quota = other21.quota;
+  requests = other21.requests;
+  reserved = other21.reserved;
+  recent = other21.recent;
+  __isset = other21.__isset;
   return *this;
 }
 void TenantUse::printTo(std::ostream& out) const {
@@ -754,6 +850,10 @@
   out << ", " << "refused=" << to_string(refused);
   out << ", " << "running=" << to_string(running);
   out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "quota=" << to_string(quota);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "reserved=" << to_string(reserved);
+  out << ", " << "recent=" << to_string(recent);
   out << ")";
 }
 
@@ -785,6 +885,14 @@
 void TenantGrant::__set_sharePercent(const int32_t val) {
   this->sharePercent = val;
 }
+
+void TenantGrant::__set_quota(const bool val) {
+  this->quota = val;
+}
+
+void TenantGrant::__set_fallbackCreditMilli(const int64_t val) {
+  this->fallbackCreditMilli = val;
+}
 std::ostream& operator<<(std::ostream& out, const TenantGrant& obj)
 {
   obj.printTo(out);
@@ -861,6 +969,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quota);
+          this->__isset.quota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fallbackCreditMilli);
+          this->__isset.fallbackCreditMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -902,6 +1026,14 @@
   xfer += oprot->writeI32(this->sharePercent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quota", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->quota);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fallbackCreditMilli", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->fallbackCreditMilli);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -915,26 +1047,32 @@
   swap(a.fallbackMilli, b.fallbackMilli);
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.sharePercent, b.sharePercent);
+  swap(a.quota, b.quota);
+  swap(a.fallbackCreditMilli, b.fallbackCreditMilli);
   swap(a.__isset, b.__isset);
 }
 
-TenantGrant::TenantGrant(const TenantGrant& other16) {
-  tenant = other16.tenant;
-  metered = other16.metered;
-  credit = other16.credit;
-  fallbackMilli = other16.fallbackMilli;
-  retryAfterMs = other16.retryAfterMs;
-  sharePercent = other16.sharePercent;
-  __isset = other16.__isset;
-}
-TenantGrant& TenantGrant::operator=(const TenantGrant& other17) {
-  tenant = other17.tenant;
-  metered = other17.metered;
-  credit = other17.credit;
-  fallbackMilli = other17.fallbackMilli;
-  retryAfterMs = other17.retryAfterMs;
-  sharePercent = other17.sharePercent;
-  __isset = other17.__isset;
+TenantGrant::TenantGrant(const TenantGrant& other22) {
+  tenant = other22.tenant;
+  metered = other22.metered;
+  credit = other22.credit;
+  fallbackMilli = other22.fallbackMilli;
+  retryAfterMs = other22.retryAfterMs;
+  sharePercent = other22.sharePercent;
+  quota = other22.quota;
+  fallbackCreditMilli = other22.fallbackCreditMilli;
+  __isset = other22.__isset;
+}
+TenantGrant& TenantGrant::operator=(const TenantGrant& other23) {
+  tenant = other23.tenant;
+  metered = other23.metered;
+  credit = other23.credit;
+  fallbackMilli = other23.fallbackMilli;
+  retryAfterMs = other23.retryAfterMs;
+  sharePercent = other23.sharePercent;
+  quota = other23.quota;
+  fallbackCreditMilli = other23.fallbackCreditMilli;
+  __isset = other23.__isset;
   return *this;
 }
 void TenantGrant::printTo(std::ostream& out) const {
@@ -946,6 +1084,8 @@
   out << ", " << "fallbackMilli=" << to_string(fallbackMilli);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "sharePercent=" << to_string(sharePercent);
+  out << ", " << "quota=" << to_string(quota);
+  out << ", " << "fallbackCreditMilli=" << to_string(fallbackCreditMilli);
   out << ")";
 }
 
@@ -1077,14 +1217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waitingByRank.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->waitingByRank.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->waitingByRank.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += iprot->readI32(this->waitingByRank[_i22]);
+              xfer += iprot->readI32(this->waitingByRank[_i28]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1149,10 +1289,10 @@
   xfer += oprot->writeFieldBegin("waitingByRank", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingByRank.size()));
-    std::vector<int32_t> ::const_iterator _iter23;
-    for (_iter23 = this->waitingByRank.begin(); _iter23 != this->waitingByRank.end(); ++_iter23)
+    std::vector<int32_t> ::const_iterator _iter29;
+    for (_iter29 = this->waitingByRank.begin(); _iter29 != this->waitingByRank.end(); ++_iter29)
     {
-      xfer += oprot->writeI32((*_iter23));
+      xfer += oprot->writeI32((*_iter29));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1181,29 +1321,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelUse::ModelUse(const ModelUse& other24) {
-  model = other24.model;
-  waiting = other24.waiting;
-  inFlight = other24.inFlight;
-  arrivals = other24.arrivals;
-  urgency = other24.urgency;
-  tokens = other24.tokens;
-  worth = other24.worth;
-  waitingByRank = other24.waitingByRank;
-  begun = other24.begun;
-  __isset = other24.__isset;
-}
-ModelUse& ModelUse::operator=(const ModelUse& other25) {
-  model = other25.model;
-  waiting = other25.waiting;
-  inFlight = other25.inFlight;
-  arrivals = other25.arrivals;
-  urgency = other25.urgency;
-  tokens = other25.tokens;
-  worth = other25.worth;
-  waitingByRank = other25.waitingByRank;
-  begun = other25.begun;
-  __isset = other25.__isset;
+ModelUse::ModelUse(const ModelUse& other30) {
+  model = other30.model;
+  waiting = other30.waiting;
+  inFlight = other30.inFlight;
+  arrivals = other30.arrivals;
+  urgency = other30.urgency;
+  tokens = other30.tokens;
+  worth = other30.worth;
+  waitingByRank = other30.waitingByRank;
+  begun = other30.begun;
+  __isset = other30.__isset;
+}
+ModelUse& ModelUse::operator=(const ModelUse& other31) {
+  model = other31.model;
+  waiting = other31.waiting;
+  inFlight = other31.inFlight;
+  arrivals = other31.arrivals;
+  urgency = other31.urgency;
+  tokens = other31.tokens;
+  worth = other31.worth;
+  waitingByRank = other31.waitingByRank;
+  begun = other31.begun;
+  __isset = other31.__isset;
   return *this;
 }
 void ModelUse::printTo(std::ostream& out) const {
@@ -1314,15 +1454,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Fingerprint::Fingerprint(const Fingerprint& other26) noexcept {
-  high = other26.high;
-  low = other26.low;
-  __isset = other26.__isset;
+Fingerprint::Fingerprint(const Fingerprint& other32) noexcept {
+  high = other32.high;
+  low = other32.low;
+  __isset = other32.__isset;
 }
-Fingerprint& Fingerprint::operator=(const Fingerprint& other27) noexcept {
-  high = other27.high;
-  low = other27.low;
-  __isset = other27.__isset;
+Fingerprint& Fingerprint::operator=(const Fingerprint& other33) noexcept {
+  high = other33.high;
+  low = other33.low;
+  __isset = other33.__isset;
   return *this;
 }
 void Fingerprint::printTo(std::ostream& out) const {
@@ -1401,14 +1541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->parts.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->parts.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += iprot->readI64(this->parts[_i32]);
+              xfer += iprot->readI64(this->parts[_i38]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1453,10 +1593,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter33;
-    for (_iter33 = this->parts.begin(); _iter33 != this->parts.end(); ++_iter33)
+    std::vector<int64_t> ::const_iterator _iter39;
+    for (_iter39 = this->parts.begin(); _iter39 != this->parts.end(); ++_iter39)
     {
-      xfer += oprot->writeI64((*_iter33));
+      xfer += oprot->writeI64((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1480,19 +1620,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Crash::Crash(const Crash& other34) {
-  server = other34.server;
-  request = other34.request;
-  parts = other34.parts;
-  ageMs = other34.ageMs;
-  __isset = other34.__isset;
+Crash::Crash(const Crash& other40) {
+  server = other40.server;
+  request = other40.request;
+  parts = other40.parts;
+  ageMs = other40.ageMs;
+  __isset = other40.__isset;
 }
-Crash& Crash::operator=(const Crash& other35) {
-  server = other35.server;
-  request = other35.request;
-  parts = other35.parts;
-  ageMs = other35.ageMs;
-  __isset = other35.__isset;
+Crash& Crash::operator=(const Crash& other41) {
+  server = other41.server;
+  request = other41.request;
+  parts = other41.parts;
+  ageMs = other41.ageMs;
+  __isset = other41.__isset;
   return *this;
 }
 void Crash::printTo(std::ostream& out) const {
@@ -1598,15 +1738,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspect::Suspect(const Suspect& other36) noexcept {
-  request = other36.request;
-  servers = other36.servers;
-  __isset = other36.__isset;
+Suspect::Suspect(const Suspect& other42) noexcept {
+  request = other42.request;
+  servers = other42.servers;
+  __isset = other42.__isset;
 }
-Suspect& Suspect::operator=(const Suspect& other37) noexcept {
-  request = other37.request;
-  servers = other37.servers;
-  __isset = other37.__isset;
+Suspect& Suspect::operator=(const Suspect& other43) noexcept {
+  request = other43.request;
+  servers = other43.servers;
+  __isset = other43.__isset;
   return *this;
 }
 void Suspect::printTo(std::ostream& out) const {
@@ -1689,6 +1829,14 @@
 void SyncRequest::__set_tenants(const std::vector<TenantUse> & val) {
   this->tenants = val;
 }
+
+void SyncRequest::__set_quotasComplete(const bool val) {
+  this->quotasComplete = val;
+}
+
+void SyncRequest::__set_knownHosts(const int32_t val) {
+  this->knownHosts = val;
+}
 std::ostream& operator<<(std::ostream& out, const SyncRequest& obj)
 {
   obj.printTo(out);
@@ -1769,14 +1917,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->uses.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->uses.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->uses[_i42].read(iprot);
+              xfer += this->uses[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1789,14 +1937,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->models.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->models.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->models[_i47].read(iprot);
+              xfer += this->models[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1809,14 +1957,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->crashes.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->crashes.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->crashes[_i52].read(iprot);
+              xfer += this->crashes[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1837,14 +1985,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->completed.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->completed.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->completed.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->completed[_i57].read(iprot);
+              xfer += this->completed[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1865,14 +2013,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->startedParts.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->startedParts.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->startedParts.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readI64(this->startedParts[_i62]);
+              xfer += iprot->readI64(this->startedParts[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1893,14 +2041,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->heldParts.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->heldParts.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += iprot->readI64(this->heldParts[_i67]);
+              xfer += iprot->readI64(this->heldParts[_i73]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1921,14 +2069,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tenants.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->tenants.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->tenants.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->tenants[_i72].read(iprot);
+              xfer += this->tenants[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1937,6 +2085,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->quotasComplete);
+          this->__isset.quotasComplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->knownHosts);
+          this->__isset.knownHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1981,10 +2145,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<ServerUse> ::const_iterator _iter73;
-    for (_iter73 = this->uses.begin(); _iter73 != this->uses.end(); ++_iter73)
+    std::vector<ServerUse> ::const_iterator _iter79;
+    for (_iter79 = this->uses.begin(); _iter79 != this->uses.end(); ++_iter79)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1993,10 +2157,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<ModelUse> ::const_iterator _iter74;
-    for (_iter74 = this->models.begin(); _iter74 != this->models.end(); ++_iter74)
+    std::vector<ModelUse> ::const_iterator _iter80;
+    for (_iter80 = this->models.begin(); _iter80 != this->models.end(); ++_iter80)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2005,10 +2169,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter75;
-    for (_iter75 = this->crashes.begin(); _iter75 != this->crashes.end(); ++_iter75)
+    std::vector<Crash> ::const_iterator _iter81;
+    for (_iter81 = this->crashes.begin(); _iter81 != this->crashes.end(); ++_iter81)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2021,10 +2185,10 @@
   xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->completed.size()));
-    std::vector<Fingerprint> ::const_iterator _iter76;
-    for (_iter76 = this->completed.begin(); _iter76 != this->completed.end(); ++_iter76)
+    std::vector<Fingerprint> ::const_iterator _iter82;
+    for (_iter82 = this->completed.begin(); _iter82 != this->completed.end(); ++_iter82)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2037,10 +2201,10 @@
   xfer += oprot->writeFieldBegin("startedParts", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->startedParts.size()));
-    std::vector<int64_t> ::const_iterator _iter77;
-    for (_iter77 = this->startedParts.begin(); _iter77 != this->startedParts.end(); ++_iter77)
+    std::vector<int64_t> ::const_iterator _iter83;
+    for (_iter83 = this->startedParts.begin(); _iter83 != this->startedParts.end(); ++_iter83)
     {
-      xfer += oprot->writeI64((*_iter77));
+      xfer += oprot->writeI64((*_iter83));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2053,10 +2217,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter78;
-    for (_iter78 = this->heldParts.begin(); _iter78 != this->heldParts.end(); ++_iter78)
+    std::vector<int64_t> ::const_iterator _iter84;
+    for (_iter84 = this->heldParts.begin(); _iter84 != this->heldParts.end(); ++_iter84)
     {
-      xfer += oprot->writeI64((*_iter78));
+      xfer += oprot->writeI64((*_iter84));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2069,15 +2233,23 @@
   xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
-    std::vector<TenantUse> ::const_iterator _iter79;
-    for (_iter79 = this->tenants.begin(); _iter79 != this->tenants.end(); ++_iter79)
+    std::vector<TenantUse> ::const_iterator _iter85;
+    for (_iter85 = this->tenants.begin(); _iter85 != this->tenants.end(); ++_iter85)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quotasComplete", ::apache::thrift::protocol::T_BOOL, 30);
+  xfer += oprot->writeBool(this->quotasComplete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("knownHosts", ::apache::thrift::protocol::T_I32, 31);
+  xfer += oprot->writeI32(this->knownHosts);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2102,48 +2274,54 @@
   swap(a.heldParts, b.heldParts);
   swap(a.takesTable, b.takesTable);
   swap(a.tenants, b.tenants);
+  swap(a.quotasComplete, b.quotasComplete);
+  swap(a.knownHosts, b.knownHosts);
   swap(a.__isset, b.__isset);
 }
 
-SyncRequest::SyncRequest(const SyncRequest& other80) {
-  host = other80.host;
-  failureDomain = other80.failureDomain;
-  instance = other80.instance;
-  epoch = other80.epoch;
-  seen = other80.seen;
-  routesVersion = other80.routesVersion;
-  uses = other80.uses;
-  models = other80.models;
-  crashes = other80.crashes;
-  waitMs = other80.waitMs;
-  completed = other80.completed;
-  takesCompressed = other80.takesCompressed;
-  startedParts = other80.startedParts;
-  starts = other80.starts;
-  heldParts = other80.heldParts;
-  takesTable = other80.takesTable;
-  tenants = other80.tenants;
-  __isset = other80.__isset;
-}
-SyncRequest& SyncRequest::operator=(const SyncRequest& other81) {
-  host = other81.host;
-  failureDomain = other81.failureDomain;
-  instance = other81.instance;
-  epoch = other81.epoch;
-  seen = other81.seen;
-  routesVersion = other81.routesVersion;
-  uses = other81.uses;
-  models = other81.models;
-  crashes = other81.crashes;
-  waitMs = other81.waitMs;
-  completed = other81.completed;
-  takesCompressed = other81.takesCompressed;
-  startedParts = other81.startedParts;
-  starts = other81.starts;
-  heldParts = other81.heldParts;
-  takesTable = other81.takesTable;
-  tenants = other81.tenants;
-  __isset = other81.__isset;
+SyncRequest::SyncRequest(const SyncRequest& other86) {
+  host = other86.host;
+  failureDomain = other86.failureDomain;
+  instance = other86.instance;
+  epoch = other86.epoch;
+  seen = other86.seen;
+  routesVersion = other86.routesVersion;
+  uses = other86.uses;
+  models = other86.models;
+  crashes = other86.crashes;
+  waitMs = other86.waitMs;
+  completed = other86.completed;
+  takesCompressed = other86.takesCompressed;
+  startedParts = other86.startedParts;
+  starts = other86.starts;
+  heldParts = other86.heldParts;
+  takesTable = other86.takesTable;
+  tenants = other86.tenants;
+  quotasComplete = other86.quotasComplete;
+  knownHosts = other86.knownHosts;
+  __isset = other86.__isset;
+}
+SyncRequest& SyncRequest::operator=(const SyncRequest& other87) {
+  host = other87.host;
+  failureDomain = other87.failureDomain;
+  instance = other87.instance;
+  epoch = other87.epoch;
+  seen = other87.seen;
+  routesVersion = other87.routesVersion;
+  uses = other87.uses;
+  models = other87.models;
+  crashes = other87.crashes;
+  waitMs = other87.waitMs;
+  completed = other87.completed;
+  takesCompressed = other87.takesCompressed;
+  startedParts = other87.startedParts;
+  starts = other87.starts;
+  heldParts = other87.heldParts;
+  takesTable = other87.takesTable;
+  tenants = other87.tenants;
+  quotasComplete = other87.quotasComplete;
+  knownHosts = other87.knownHosts;
+  __isset = other87.__isset;
   return *this;
 }
 void SyncRequest::printTo(std::ostream& out) const {
@@ -2166,6 +2344,8 @@
   out << ", " << "heldParts=" << to_string(heldParts);
   out << ", " << "takesTable=" << to_string(takesTable);
   out << ", " << "tenants=" << to_string(tenants);
+  out << ", " << "quotasComplete=" << to_string(quotasComplete);
+  out << ", " << "knownHosts=" << to_string(knownHosts);
   out << ")";
 }
 
@@ -2325,14 +2505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->models.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->models.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += iprot->readString(this->models[_i86]);
+              xfer += iprot->readString(this->models[_i92]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2369,14 +2549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->coming.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->coming.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += iprot->readString(this->coming[_i91]);
+              xfer += iprot->readString(this->coming[_i97]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2485,10 +2665,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter92;
-    for (_iter92 = this->models.begin(); _iter92 != this->models.end(); ++_iter92)
+    std::vector<std::string> ::const_iterator _iter98;
+    for (_iter98 = this->models.begin(); _iter98 != this->models.end(); ++_iter98)
     {
-      xfer += oprot->writeString((*_iter92));
+      xfer += oprot->writeString((*_iter98));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2509,10 +2689,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter93;
-    for (_iter93 = this->coming.begin(); _iter93 != this->coming.end(); ++_iter93)
+    std::vector<std::string> ::const_iterator _iter99;
+    for (_iter99 = this->coming.begin(); _iter99 != this->coming.end(); ++_iter99)
     {
-      xfer += oprot->writeString((*_iter93));
+      xfer += oprot->writeString((*_iter99));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2574,47 +2754,47 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRow::ServerRow(const ServerRow& other94) {
-  server = other94.server;
-  address = other94.address;
-  serviceName = other94.serviceName;
-  failureDomain = other94.failureDomain;
-  state = other94.state;
-  slots = other94.slots;
-  models = other94.models;
-  inFlight = other94.inFlight;
-  tokens = other94.tokens;
-  suspect = other94.suspect;
-  coming = other94.coming;
-  memoryTokens = other94.memoryTokens;
-  speedPercent = other94.speedPercent;
-  tokenNanos = other94.tokenNanos;
-  unreadTokens = other94.unreadTokens;
-  rateLimitMilli = other94.rateLimitMilli;
-  pacePercent = other94.pacePercent;
-  queued = other94.queued;
-  __isset = other94.__isset;
-}
-ServerRow& ServerRow::operator=(const ServerRow& other95) {
-  server = other95.server;
-  address = other95.address;
-  serviceName = other95.serviceName;
-  failureDomain = other95.failureDomain;
-  state = other95.state;
-  slots = other95.slots;
-  models = other95.models;
-  inFlight = other95.inFlight;
-  tokens = other95.tokens;
-  suspect = other95.suspect;
-  coming = other95.coming;
-  memoryTokens = other95.memoryTokens;
-  speedPercent = other95.speedPercent;
-  tokenNanos = other95.tokenNanos;
-  unreadTokens = other95.unreadTokens;
-  rateLimitMilli = other95.rateLimitMilli;
-  pacePercent = other95.pacePercent;
-  queued = other95.queued;
-  __isset = other95.__isset;
+ServerRow::ServerRow(const ServerRow& other100) {
+  server = other100.server;
+  address = other100.address;
+  serviceName = other100.serviceName;
+  failureDomain = other100.failureDomain;
+  state = other100.state;
+  slots = other100.slots;
+  models = other100.models;
+  inFlight = other100.inFlight;
+  tokens = other100.tokens;
+  suspect = other100.suspect;
+  coming = other100.coming;
+  memoryTokens = other100.memoryTokens;
+  speedPercent = other100.speedPercent;
+  tokenNanos = other100.tokenNanos;
+  unreadTokens = other100.unreadTokens;
+  rateLimitMilli = other100.rateLimitMilli;
+  pacePercent = other100.pacePercent;
+  queued = other100.queued;
+  __isset = other100.__isset;
+}
+ServerRow& ServerRow::operator=(const ServerRow& other101) {
+  server = other101.server;
+  address = other101.address;
+  serviceName = other101.serviceName;
+  failureDomain = other101.failureDomain;
+  state = other101.state;
+  slots = other101.slots;
+  models = other101.models;
+  inFlight = other101.inFlight;
+  tokens = other101.tokens;
+  suspect = other101.suspect;
+  coming = other101.coming;
+  memoryTokens = other101.memoryTokens;
+  speedPercent = other101.speedPercent;
+  tokenNanos = other101.tokenNanos;
+  unreadTokens = other101.unreadTokens;
+  rateLimitMilli = other101.rateLimitMilli;
+  pacePercent = other101.pacePercent;
+  queued = other101.queued;
+  __isset = other101.__isset;
   return *this;
 }
 void ServerRow::printTo(std::ostream& out) const {
@@ -2853,29 +3033,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLoad::ServerLoad(const ServerLoad& other96) {
-  server = other96.server;
-  inFlight = other96.inFlight;
-  tokens = other96.tokens;
-  suspect = other96.suspect;
-  speedPercent = other96.speedPercent;
-  tokenNanos = other96.tokenNanos;
-  unreadTokens = other96.unreadTokens;
-  pacePercent = other96.pacePercent;
-  queued = other96.queued;
-  __isset = other96.__isset;
-}
-ServerLoad& ServerLoad::operator=(const ServerLoad& other97) {
-  server = other97.server;
-  inFlight = other97.inFlight;
-  tokens = other97.tokens;
-  suspect = other97.suspect;
-  speedPercent = other97.speedPercent;
-  tokenNanos = other97.tokenNanos;
-  unreadTokens = other97.unreadTokens;
-  pacePercent = other97.pacePercent;
-  queued = other97.queued;
-  __isset = other97.__isset;
+ServerLoad::ServerLoad(const ServerLoad& other102) {
+  server = other102.server;
+  inFlight = other102.inFlight;
+  tokens = other102.tokens;
+  suspect = other102.suspect;
+  speedPercent = other102.speedPercent;
+  tokenNanos = other102.tokenNanos;
+  unreadTokens = other102.unreadTokens;
+  pacePercent = other102.pacePercent;
+  queued = other102.queued;
+  __isset = other102.__isset;
+}
+ServerLoad& ServerLoad::operator=(const ServerLoad& other103) {
+  server = other103.server;
+  inFlight = other103.inFlight;
+  tokens = other103.tokens;
+  suspect = other103.suspect;
+  speedPercent = other103.speedPercent;
+  tokenNanos = other103.tokenNanos;
+  unreadTokens = other103.unreadTokens;
+  pacePercent = other103.pacePercent;
+  queued = other103.queued;
+  __isset = other103.__isset;
   return *this;
 }
 void ServerLoad::printTo(std::ostream& out) const {
@@ -2933,14 +3113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->rows.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->rows.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->rows[_i102].read(iprot);
+              xfer += this->rows[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2969,10 +3149,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter103;
-    for (_iter103 = this->rows.begin(); _iter103 != this->rows.end(); ++_iter103)
+    std::vector<ServerRow> ::const_iterator _iter109;
+    for (_iter109 = this->rows.begin(); _iter109 != this->rows.end(); ++_iter109)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2989,13 +3169,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerTable::ServerTable(const ServerTable& other104) {
-  rows = other104.rows;
-  __isset = other104.__isset;
+ServerTable::ServerTable(const ServerTable& other110) {
+  rows = other110.rows;
+  __isset = other110.__isset;
 }
-ServerTable& ServerTable::operator=(const ServerTable& other105) {
-  rows = other105.rows;
-  __isset = other105.__isset;
+ServerTable& ServerTable::operator=(const ServerTable& other111) {
+  rows = other111.rows;
+  __isset = other111.__isset;
   return *this;
 }
 void ServerTable::printTo(std::ostream& out) const {
@@ -3098,15 +3278,15 @@
   swap(a.__isset, b.__isset);
 }
 
-RateGrant::RateGrant(const RateGrant& other106) {
-  server = other106.server;
-  requests = other106.requests;
-  __isset = other106.__isset;
+RateGrant::RateGrant(const RateGrant& other112) {
+  server = other112.server;
+  requests = other112.requests;
+  __isset = other112.__isset;
 }
-RateGrant& RateGrant::operator=(const RateGrant& other107) {
-  server = other107.server;
-  requests = other107.requests;
-  __isset = other107.__isset;
+RateGrant& RateGrant::operator=(const RateGrant& other113) {
+  server = other113.server;
+  requests = other113.requests;
+  __isset = other113.__isset;
   return *this;
 }
 void RateGrant::printTo(std::ostream& out) const {
@@ -3177,14 +3357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waitingByRank.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->waitingByRank.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->waitingByRank.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += iprot->readI32(this->waitingByRank[_i112]);
+              xfer += iprot->readI32(this->waitingByRank[_i118]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3233,10 +3413,10 @@
   xfer += oprot->writeFieldBegin("waitingByRank", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingByRank.size()));
-    std::vector<int32_t> ::const_iterator _iter113;
-    for (_iter113 = this->waitingByRank.begin(); _iter113 != this->waitingByRank.end(); ++_iter113)
+    std::vector<int32_t> ::const_iterator _iter119;
+    for (_iter119 = this->waitingByRank.begin(); _iter119 != this->waitingByRank.end(); ++_iter119)
     {
-      xfer += oprot->writeI32((*_iter113));
+      xfer += oprot->writeI32((*_iter119));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3264,19 +3444,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelLine::ModelLine(const ModelLine& other114) {
-  model = other114.model;
-  waitingByRank = other114.waitingByRank;
-  inFlight = other114.inFlight;
-  begunMilli = other114.begunMilli;
-  __isset = other114.__isset;
+ModelLine::ModelLine(const ModelLine& other120) {
+  model = other120.model;
+  waitingByRank = other120.waitingByRank;
+  inFlight = other120.inFlight;
+  begunMilli = other120.begunMilli;
+  __isset = other120.__isset;
 }
-ModelLine& ModelLine::operator=(const ModelLine& other115) {
-  model = other115.model;
-  waitingByRank = other115.waitingByRank;
-  inFlight = other115.inFlight;
-  begunMilli = other115.begunMilli;
-  __isset = other115.__isset;
+ModelLine& ModelLine::operator=(const ModelLine& other121) {
+  model = other121.model;
+  waitingByRank = other121.waitingByRank;
+  inFlight = other121.inFlight;
+  begunMilli = other121.begunMilli;
+  __isset = other121.__isset;
   return *this;
 }
 void ModelLine::printTo(std::ostream& out) const {
@@ -3382,15 +3562,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ComingModel::ComingModel(const ComingModel& other116) {
-  model = other116.model;
-  readyInMs = other116.readyInMs;
-  __isset = other116.__isset;
+ComingModel::ComingModel(const ComingModel& other122) {
+  model = other122.model;
+  readyInMs = other122.readyInMs;
+  __isset = other122.__isset;
 }
-ComingModel& ComingModel::operator=(const ComingModel& other117) {
-  model = other117.model;
-  readyInMs = other117.readyInMs;
-  __isset = other117.__isset;
+ComingModel& ComingModel::operator=(const ComingModel& other123) {
+  model = other123.model;
+  readyInMs = other123.readyInMs;
+  __isset = other123.__isset;
   return *this;
 }
 void ComingModel::printTo(std::ostream& out) const {
@@ -3565,14 +3745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->rows.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->rows.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->rows[_i122].read(iprot);
+              xfer += this->rows[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3601,14 +3781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->members.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->members.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readString(this->members[_i127]);
+              xfer += iprot->readString(this->members[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3629,14 +3809,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->coming.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->coming.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->coming[_i132].read(iprot);
+              xfer += this->coming[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3649,14 +3829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _etype136;
-            xfer += iprot->readListBegin(_etype136, _size133);
-            this->suspects.resize(_size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->suspects.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->suspects[_i137].read(iprot);
+              xfer += this->suspects[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3669,14 +3849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->loads.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->loads.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->loads[_i142].read(iprot);
+              xfer += this->loads[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3705,14 +3885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldParts.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->heldParts.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->heldParts.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += iprot->readI64(this->heldParts[_i147]);
+              xfer += iprot->readI64(this->heldParts[_i153]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3733,14 +3913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->grants.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->grants.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->grants[_i152].read(iprot);
+              xfer += this->grants[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3769,14 +3949,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tenants.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->tenants.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->tenants.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += this->tenants[_i157].read(iprot);
+              xfer += this->tenants[_i163].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3789,14 +3969,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lines.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->lines.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->lines.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->lines[_i162].read(iprot);
+              xfer += this->lines[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3845,10 +4025,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<ServerRow> ::const_iterator _iter163;
-    for (_iter163 = this->rows.begin(); _iter163 != this->rows.end(); ++_iter163)
+    std::vector<ServerRow> ::const_iterator _iter169;
+    for (_iter169 = this->rows.begin(); _iter169 != this->rows.end(); ++_iter169)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3865,10 +4045,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter164;
-    for (_iter164 = this->members.begin(); _iter164 != this->members.end(); ++_iter164)
+    std::vector<std::string> ::const_iterator _iter170;
+    for (_iter170 = this->members.begin(); _iter170 != this->members.end(); ++_iter170)
     {
-      xfer += oprot->writeString((*_iter164));
+      xfer += oprot->writeString((*_iter170));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3881,10 +4061,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<ComingModel> ::const_iterator _iter165;
-    for (_iter165 = this->coming.begin(); _iter165 != this->coming.end(); ++_iter165)
+    std::vector<ComingModel> ::const_iterator _iter171;
+    for (_iter171 = this->coming.begin(); _iter171 != this->coming.end(); ++_iter171)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3893,10 +4073,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<Suspect> ::const_iterator _iter166;
-    for (_iter166 = this->suspects.begin(); _iter166 != this->suspects.end(); ++_iter166)
+    std::vector<Suspect> ::const_iterator _iter172;
+    for (_iter172 = this->suspects.begin(); _iter172 != this->suspects.end(); ++_iter172)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3905,10 +4085,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServerLoad> ::const_iterator _iter167;
-    for (_iter167 = this->loads.begin(); _iter167 != this->loads.end(); ++_iter167)
+    std::vector<ServerLoad> ::const_iterator _iter173;
+    for (_iter173 = this->loads.begin(); _iter173 != this->loads.end(); ++_iter173)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3925,10 +4105,10 @@
   xfer += oprot->writeFieldBegin("heldParts", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->heldParts.size()));
-    std::vector<int64_t> ::const_iterator _iter168;
-    for (_iter168 = this->heldParts.begin(); _iter168 != this->heldParts.end(); ++_iter168)
+    std::vector<int64_t> ::const_iterator _iter174;
+    for (_iter174 = this->heldParts.begin(); _iter174 != this->heldParts.end(); ++_iter174)
     {
-      xfer += oprot->writeI64((*_iter168));
+      xfer += oprot->writeI64((*_iter174));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3941,10 +4121,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<RateGrant> ::const_iterator _iter169;
-    for (_iter169 = this->grants.begin(); _iter169 != this->grants.end(); ++_iter169)
+    std::vector<RateGrant> ::const_iterator _iter175;
+    for (_iter175 = this->grants.begin(); _iter175 != this->grants.end(); ++_iter175)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3961,10 +4141,10 @@
   xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
-    std::vector<TenantGrant> ::const_iterator _iter170;
-    for (_iter170 = this->tenants.begin(); _iter170 != this->tenants.end(); ++_iter170)
+    std::vector<TenantGrant> ::const_iterator _iter176;
+    for (_iter176 = this->tenants.begin(); _iter176 != this->tenants.end(); ++_iter176)
     {
-      xfer += (*_iter170).write(oprot);
+      xfer += (*_iter176).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3973,10 +4153,10 @@
   xfer += oprot->writeFieldBegin("lines", ::apache::thrift::protocol::T_LIST, 30);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lines.size()));
-    std::vector<ModelLine> ::const_iterator _iter171;
-    for (_iter171 = this->lines.begin(); _iter171 != this->lines.end(); ++_iter171)
+    std::vector<ModelLine> ::const_iterator _iter177;
+    for (_iter177 = this->lines.begin(); _iter177 != this->lines.end(); ++_iter177)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4014,55 +4194,55 @@
   swap(a.__isset, b.__isset);
 }
 
-SyncReply::SyncReply(const SyncReply& other172) {
-  leader = other172.leader;
-  leaderAddress = other172.leaderAddress;
-  epoch = other172.epoch;
-  seen = other172.seen;
-  complete = other172.complete;
-  rows = other172.rows;
-  routesVersion = other172.routesVersion;
-  routes = other172.routes;
-  members = other172.members;
-  hosts = other172.hosts;
-  coming = other172.coming;
-  suspects = other172.suspects;
-  loads = other172.loads;
-  compressedRoutes = other172.compressedRoutes;
-  routesBytes = other172.routesBytes;
-  heldParts = other172.heldParts;
-  crashEpoch = other172.crashEpoch;
-  grants = other172.grants;
-  compressedTable = other172.compressedTable;
-  tableBytes = other172.tableBytes;
-  tenants = other172.tenants;
-  lines = other172.lines;
-  __isset = other172.__isset;
-}
-SyncReply& SyncReply::operator=(const SyncReply& other173) {
-  leader = other173.leader;
-  leaderAddress = other173.leaderAddress;
-  epoch = other173.epoch;
-  seen = other173.seen;
-  complete = other173.complete;
-  rows = other173.rows;
-  routesVersion = other173.routesVersion;
-  routes = other173.routes;
-  members = other173.members;
-  hosts = other173.hosts;
-  coming = other173.coming;
-  suspects = other173.suspects;
-  loads = other173.loads;
-  compressedRoutes = other173.compressedRoutes;
-  routesBytes = other173.routesBytes;
-  heldParts = other173.heldParts;
-  crashEpoch = other173.crashEpoch;
-  grants = other173.grants;
-  compressedTable = other173.compressedTable;
-  tableBytes = other173.tableBytes;
-  tenants = other173.tenants;
-  lines = other173.lines;
-  __isset = other173.__isset;
+SyncReply::SyncReply(const SyncReply& other178) {
+  leader = other178.leader;
+  leaderAddress = other178.leaderAddress;
+  epoch = other178.epoch;
+  seen = other178.seen;
+  complete = other178.complete;
+  rows = other178.rows;
+  routesVersion = other178.routesVersion;
+  routes = other178.routes;
+  members = other178.members;
+  hosts = other178.hosts;
+  coming = other178.coming;
+  suspects = other178.suspects;
+  loads = other178.loads;
+  compressedRoutes = other178.compressedRoutes;
+  routesBytes = other178.routesBytes;
+  heldParts = other178.heldParts;
+  crashEpoch = other178.crashEpoch;
+  grants = other178.grants;
+  compressedTable = other178.compressedTable;
+  tableBytes = other178.tableBytes;
+  tenants = other178.tenants;
+  lines = other178.lines;
+  __isset = other178.__isset;
+}
+SyncReply& SyncReply::operator=(const SyncReply& other179) {
+  leader = other179.leader;
+  leaderAddress = other179.leaderAddress;
+  epoch = other179.epoch;
+  seen = other179.seen;
+  complete = other179.complete;
+  rows = other179.rows;
+  routesVersion = other179.routesVersion;
+  routes = other179.routes;
+  members = other179.members;
+  hosts = other179.hosts;
+  coming = other179.coming;
+  suspects = other179.suspects;
+  loads = other179.loads;
+  compressedRoutes = other179.compressedRoutes;
+  routesBytes = other179.routesBytes;
+  heldParts = other179.heldParts;
+  crashEpoch = other179.crashEpoch;
+  grants = other179.grants;
+  compressedTable = other179.compressedTable;
+  tableBytes = other179.tableBytes;
+  tenants = other179.tenants;
+  lines = other179.lines;
+  __isset = other179.__isset;
   return *this;
 }
 void SyncReply::printTo(std::ostream& out) const {
@@ -4220,19 +4400,19 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other174) {
-  address = other174.address;
-  failureDomain = other174.failureDomain;
-  disk = other174.disk;
-  member = other174.member;
-  __isset = other174.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other180) {
+  address = other180.address;
+  failureDomain = other180.failureDomain;
+  disk = other180.disk;
+  member = other180.member;
+  __isset = other180.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other175) {
-  address = other175.address;
-  failureDomain = other175.failureDomain;
-  disk = other175.disk;
-  member = other175.member;
-  __isset = other175.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other181) {
+  address = other181.address;
+  failureDomain = other181.failureDomain;
+  disk = other181.disk;
+  member = other181.member;
+  __isset = other181.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -4325,14 +4505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->members.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->members.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += iprot->readString(this->members[_i180]);
+              xfer += iprot->readString(this->members[_i186]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4345,14 +4525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->memberIds.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->memberIds.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->memberIds.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += iprot->readI32(this->memberIds[_i185]);
+              xfer += iprot->readI32(this->memberIds[_i191]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4393,10 +4573,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter186;
-    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
+    std::vector<std::string> ::const_iterator _iter192;
+    for (_iter192 = this->members.begin(); _iter192 != this->members.end(); ++_iter192)
     {
-      xfer += oprot->writeString((*_iter186));
+      xfer += oprot->writeString((*_iter192));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4405,10 +4585,10 @@
   xfer += oprot->writeFieldBegin("memberIds", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->memberIds.size()));
-    std::vector<int32_t> ::const_iterator _iter187;
-    for (_iter187 = this->memberIds.begin(); _iter187 != this->memberIds.end(); ++_iter187)
+    std::vector<int32_t> ::const_iterator _iter193;
+    for (_iter193 = this->memberIds.begin(); _iter193 != this->memberIds.end(); ++_iter193)
     {
-      xfer += oprot->writeI32((*_iter187));
+      xfer += oprot->writeI32((*_iter193));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4429,21 +4609,21 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinAnswer::JoinAnswer(const JoinAnswer& other188) {
-  leader = other188.leader;
-  leaderAddress = other188.leaderAddress;
-  member = other188.member;
-  members = other188.members;
-  memberIds = other188.memberIds;
-  __isset = other188.__isset;
-}
-JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other189) {
-  leader = other189.leader;
-  leaderAddress = other189.leaderAddress;
-  member = other189.member;
-  members = other189.members;
-  memberIds = other189.memberIds;
-  __isset = other189.__isset;
+JoinAnswer::JoinAnswer(const JoinAnswer& other194) {
+  leader = other194.leader;
+  leaderAddress = other194.leaderAddress;
+  member = other194.member;
+  members = other194.members;
+  memberIds = other194.memberIds;
+  __isset = other194.__isset;
+}
+JoinAnswer& JoinAnswer::operator=(const JoinAnswer& other195) {
+  leader = other195.leader;
+  leaderAddress = other195.leaderAddress;
+  member = other195.member;
+  members = other195.members;
+  memberIds = other195.memberIds;
+  __isset = other195.__isset;
   return *this;
 }
 void JoinAnswer::printTo(std::ostream& out) const {
