Expect those who wait at other hosts to take places that become free

Cause: an estimate returns to the mean load of the service with its age. At a full server with a line at all hosts that looks like free places, so that all hosts send at once and most are turned away.

Change: a request knows how many wait for its model at other hosts; while any do, the load that its servers return to is 4/3 of their slots. The model of EvenLoadBench plays lines, ranks and early refusals, and counts what is served in time; its counts are in EvenLoadCounts.

EvenLoadTest (21 cases), RefusingEarlyTest, BackendViewTest, ServerLoadTest, GatewayTest, ServerTroubleTest and RefusalTest pass.

--- a/admission/LineTable.cpp
+++ b/admission/LineTable.cpp
@@ -100,6 +100,14 @@
                          0U);
 }
 
+std::uint32_t
+LineTable::WaitingElsewhere(const core::ModelName& aModel,
+                            core::MonotonicTime aNow) const
+{
+  const ModelLine* line = Find(aModel, aNow);
+  return line == nullptr ? 0 : line->Waiting();
+}
+
 BeginVerdict
 LineTable::Judge(const core::ModelName& aModel,
                  std::uint32_t aRank,
--- a/admission/LineTable.hpp
+++ b/admission/LineTable.hpp
@@ -64,6 +64,9 @@
   std::uint32_t MoreUrgentElsewhere(const core::ModelName& aModel,
                                     std::uint32_t aRank,
                                     core::MonotonicTime aNow) const;
+  /// All requests of other hosts that wait for the model.
+  std::uint32_t WaitingElsewhere(const core::ModelName& aModel,
+                                 core::MonotonicTime aNow) const;
 
 private:
   const ModelLine* Find(const core::ModelName& aModel,
--- a/bench/EvenLoadBench.cpp
+++ b/bench/EvenLoadBench.cpp
@@ -29,9 +29,13 @@
     sum.firstP99Ms_ += result.firstP99Ms_ / aSeeds;
     sum.rowsPerReply_ += result.rowsPerReply_ / aSeeds;
     sum.estimateError_ += result.estimateError_ / aSeeds;
+    sum.refusedEarly_ += result.refusedEarly_;
+    sum.servedUrgent_ += result.servedUrgent_ / aSeeds;
+    sum.servedOther_ += result.servedOther_ / aSeeds;
+    sum.refusalMs_ += result.refusalMs_ / aSeeds;
   }
   std::printf("%-22s %-5s %8llu %7llu %7llu %8llu %7.2f %7.2f %6.2f %6.0f "
-              "%6.0f %6.0f %6.1f %6.2f\n",
+              "%6.0f %6.0f %6.1f %6.2f %7llu %6.3f %6.3f %6.0f\n",
               aName,
               aSettings.namesPace_ ? "yes" : "no",
               static_cast<unsigned long long>(sum.arrivals_),
@@ -45,7 +49,11 @@
               sum.firstP95Ms_,
               sum.firstP99Ms_,
               sum.rowsPerReply_,
-              sum.estimateError_);
+              sum.estimateError_,
+              static_cast<unsigned long long>(sum.refusedEarly_),
+              sum.servedUrgent_,
+              sum.servedOther_,
+              sum.refusalMs_);
   std::fflush(stdout);
 }
 
@@ -59,7 +67,8 @@
     "95 hosts, 140 servers of 12 slots, every 10th of pace 1.8, views "
     "0.5 s old, %d seeds\n",
     seeds);
-  std::printf("%-22s %-5s %8s %7s %7s %8s %7s %7s %6s %6s %6s %6s %6s %6s\n",
+  std::printf("%-22s %-5s %8s %7s %7s %8s %7s %7s %6s %6s %6s %6s %6s %6s %7s "
+              "%6s %6s %6s\n",
               "load",
               "pace",
               "arrivals",
@@ -73,7 +82,11 @@
               "p95",
               "p99",
               "rows",
-              "error");
+              "error",
+              "early",
+              "urgent",
+              "other",
+              "ref.ms");
   bench::EvenLoadSettings usual;
   bench::EvenLoadSettings heavy;
   heavy.requestsPerHost_ = 5;
@@ -91,5 +104,11 @@
       RunRow(name, set, seeds);
     }
   }
+  bench::EvenLoadSettings overload;
+  overload.requestsPerHost_ = 7;
+  overload.patience_ = std::chrono::seconds(2);
+  RunRow("7, callers bear 2 s", overload, seeds);
+  overload.refusesEarly_ = true;
+  RunRow("the same, early", overload, seeds);
   return 0;
 }
--- a/bench/EvenLoadModel.hpp
+++ b/bench/EvenLoadModel.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admission/FleetLines.hpp"
+#include "bench/EvenLoadCounts.hpp"
 #include "bench/EvenLoadTypes.hpp"
 #include "coordination/BackendView.hpp"
 #include "coordination/DispatchQueue.hpp"
@@ -7,10 +9,9 @@
 #include "core/Durations.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
-#include <deque>
-#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -20,7 +21,7 @@
 
 /// A discrete-event model with the product's own FleetTable, BackendView and
 /// DispatchQueue; equal settings give equal results.
-class EvenLoadModel
+class EvenLoadModel : private EvenLoadCounts
 {
 public:
   explicit EvenLoadModel(const EvenLoadSettings& aSettings)
@@ -47,14 +48,14 @@
       now_ = event.at_;
       Handle(event);
     }
-    return Summary();
+    return Summary(servers_, settings_.slowEvery_);
   }
 
 private:
   static constexpr core::MonotonicTime kStart{ std::chrono::hours(1) };
   static constexpr std::chrono::milliseconds kTickTime{ 50 };
   static constexpr std::chrono::milliseconds kLongestPause{ 300 };
-  static constexpr std::chrono::seconds kPatience{ 5 };
+  static constexpr std::chrono::seconds kJudgeTime{ 1 };
   static constexpr std::chrono::milliseconds kLatencyTarget{ 1000 };
   static constexpr double kTokensPerMs = 20;
   static constexpr double kStepGrowthMs = 0.25;
@@ -80,19 +81,6 @@
       return aLeft.at_ > aRight.at_;
     }
   };
-  struct Host
-  {
-    explicit Host(std::uint32_t aIndex)
-      : id_("h" + std::to_string(aIndex))
-    {
-    }
-    core::HostId id_;
-    coordination::BackendView view_{ core::FailureDomainId("a") };
-    coordination::DispatchQueue queue_;
-    std::map<coordination::DispatchQueue::Id, std::uint32_t> waiting_;
-    std::uint64_t seen_ = 0;
-  };
-
   static core::ServerId NameOf(std::uint32_t aServer)
   {
     return core::ServerId("s" + std::to_string(aServer));
@@ -207,6 +195,8 @@
     request.need_.promptTokens_ = 600 + random_.Below(1600);
     request.need_.tokens_ = request.need_.promptTokens_ + request.answerTokens_;
     request.need_.longestPause_ = kLongestPause;
+    request.rank_ = static_cast<std::uint32_t>(random_.Below(2));
+    asked_.at(request.rank_) += Measured() ? 1 : 0;
     requests_.push_back(request);
     Enqueue(static_cast<std::uint32_t>(requests_.size() - 1));
     Push(NextArrival(now_), Kind::Arrive, aHost);
@@ -214,13 +204,14 @@
 
   void Enqueue(std::uint32_t aRequest)
   {
-    const EvenLoadRequest& request = requests_[aRequest];
-    Host& host = hosts_[request.host_];
+    EvenLoadRequest& request = requests_[aRequest];
+    EvenLoadHost& host = hosts_[request.host_];
+    SetElsewhere(host, request.need_, request.rank_);
     const auto id =
       host.queue_.Add({ request.need_,
-                        0,
+                        request.rank_,
                         request.arrivedAt_,
-                        request.arrivedAt_ + kPatience,
+                        request.arrivedAt_ + settings_.patience_,
                         request.arrivedAt_ + kLatencyTarget / 2 });
     host.waiting_[id] = aRequest;
     Assign(request.host_);
@@ -228,24 +219,89 @@
 
   void Assign(std::uint32_t aHost)
   {
-    Host& host = hosts_[aHost];
-    std::erase_if(host.waiting_, [&](const auto& aEntry) {
-      const bool late = now_ > requests_[aEntry.second].arrivedAt_ + kPatience;
-      if (late) {
-        host.queue_.Remove(aEntry.first);
-        GiveUp();
-      }
-      return late;
-    });
+    EvenLoadHost& host = hosts_[aHost];
     for (const auto& grant : host.queue_.Assign(host.view_, now_, random_)) {
       const auto found = host.waiting_.find(grant.id_);
       const std::uint32_t request = found->second;
       host.waiting_.erase(found);
+      ++host.begun_[requests_[request].need_.model_];
       Send(request, grant.choice_);
     }
+    std::erase_if(host.waiting_, [&](const auto& aEntry) {
+      const EvenLoadRequest& request = requests_[aEntry.second];
+      const bool late = now_ > request.arrivedAt_ + settings_.patience_;
+      const bool early = !late && CannotBegin(host, request);
+      if (late || early) {
+        host.queue_.Remove(aEntry.first);
+        Refuse(request, early);
+      }
+      return late || early;
+    });
+  }
+
+  bool CannotBegin(const EvenLoadHost& aHost,
+                   const EvenLoadRequest& aRequest) const
+  {
+    const core::Duration age = now_ - aRequest.arrivedAt_;
+    if (!settings_.refusesEarly_ || age > kJudgeTime ||
+        aRequest.turnedAway_ > 0) {
+      return false;
+    }
+    const auto ahead =
+      std::ranges::count_if(aHost.waiting_, [&](const auto& aEntry) {
+        const EvenLoadRequest& other = requests_[aEntry.second];
+        return other.need_.model_ == aRequest.need_.model_ &&
+               std::pair(other.rank_, other.arrivedAt_) <
+                 std::pair(aRequest.rank_, aRequest.arrivedAt_);
+      });
+    return !aHost.lines_
+              .Judge(aRequest.need_.model_,
+                     aRequest.rank_,
+                     static_cast<std::uint32_t>(ahead),
+                     settings_.patience_ - age,
+                     std::nullopt,
+                     now_)
+              .canBegin_;
+  }
+
+  void Refuse(const EvenLoadRequest& aRequest, bool aEarly)
+  {
+    if (Measured()) {
+      ++(aEarly ? refusedEarly_ : givenUp_);
+      refusalMs_ += core::Seconds(now_ - aRequest.arrivedAt_) * 1e3;
+    }
   }
 
-  void GiveUp() { givenUp_ += Measured() ? 1 : 0; }
+  void SetElsewhere(const EvenLoadHost& aHost,
+                    coordination::BackendRequirements& aNeed,
+                    std::uint32_t aRank) const
+  {
+    aNeed.moreUrgentElsewhere_ =
+      aHost.lines_.MoreUrgentElsewhere(aNeed.model_, aRank, now_);
+    aNeed.waitingElsewhere_ = aHost.lines_.WaitingElsewhere(aNeed.model_, now_);
+  }
+
+  /// What the gateway and the leader tell each other of lines.
+  void ExchangeLines(EvenLoadHost& aHost)
+  {
+    std::map<core::ModelName, admission::HostLine> report;
+    for (const auto& [id, request] : aHost.waiting_) {
+      report[requests_[request].need_.model_].line_.AddWaiting(
+        requests_[request].rank_);
+    }
+    for (const auto& [model, inFlight] : aHost.inFlight_) {
+      report[model].line_.inFlight_ = inFlight;
+    }
+    for (const auto& [model, begun] : std::exchange(aHost.begun_, {})) {
+      report[model].begun_ = begun;
+    }
+    fleetLines_.OnReport(aHost.id_, std::move(report), now_);
+    fleetLines_.Expire(now_);
+    aHost.lines_.OnLines(fleetLines_.LinesFor(aHost.id_, now_), now_);
+    aHost.queue_.Update([&](coordination::QueuedRequest& aOne) {
+      SetElsewhere(aHost, aOne.need_, aOne.priority_);
+    });
+  }
 
   void Sight(const EvenLoadRequest& aRequest)
   {
@@ -277,7 +333,12 @@
         ++estimates_;
       }
     }
-    if (server.running_ < settings_.slots_) {
+    const bool runs = server.running_ < settings_.slots_;
+    if (runs || server.line_.size() < settings_.line_) {
+      request.sentAt_ = now_;
+      ++hosts_[request.host_].inFlight_[request.need_.model_];
+    }
+    if (runs) {
       Begin(aRequest);
       return;
     }
@@ -295,7 +356,7 @@
                   now_);
     request.need_.tried_.insert(aChoice.server_);
     if (++request.turnedAway_ > kMaxTurnedAway) {
-      GiveUp();
+      Refuse(request, false);
       return;
     }
     if (view.Choose(request.need_, now_, random_).status_ ==
@@ -330,7 +391,9 @@
     const EvenLoadRequest& request = requests_[aRequest];
     const EvenLoadServer& server = servers_[request.server_];
     if (request.arrivedAt_ >= kStart + settings_.warmUp_) {
-      firstMs_.push_back(core::Seconds(now_ - request.arrivedAt_) * 1e3);
+      const core::Duration time = now_ - request.arrivedAt_;
+      firstMs_.push_back(core::Seconds(time) * 1e3);
+      inTime_.at(request.rank_) += time <= settings_.patience_ ? 1 : 0;
     }
     Sight(request);
     hosts_[request.host_].view_.OnPrefillDone(NameOf(request.server_),
@@ -348,6 +411,9 @@
     const EvenLoadRequest request = requests_[aRequest];
     EvenLoadServer& server = servers_[request.server_];
     --server.running_;
+    EvenLoadHost& host = hosts_[request.host_];
+    host.lines_.OnRun(now_ - request.sentAt_);
+    --host.inFlight_[request.need_.model_];
     if (!server.line_.empty()) {
       const std::uint32_t next = server.line_.front();
       server.line_.pop_front();
@@ -363,7 +429,7 @@
   void OnReport(std::uint32_t aHost)
   {
     Push(now_ + settings_.reportInterval_, Kind::Report, aHost);
-    Host& host = hosts_[aHost];
+    EvenLoadHost& host = hosts_[aHost];
     if (settings_.leaderLostAt_ && now_ > kStart + *settings_.leaderLostAt_) {
       Assign(aHost);
       return;
@@ -381,6 +447,9 @@
     }
     table_.OnUsage(host.id_, uses, now_);
     table_.Expire(now_);
+    if (settings_.refusesEarly_) {
+      ExchangeLines(host);
+    }
     const auto rows = table_.RowsFor(host.id_, host.seen_);
     if (Measured()) {
       rows_ += rows.size();
@@ -413,76 +482,18 @@
     Push(now_ + kTickTime, Kind::Tick, 0);
   }
 
-  double Percentile(std::size_t aPercent) const
-  {
-    return firstMs_.empty()
-             ? 0
-             : firstMs_[std::min(firstMs_.size() - 1,
-                                 firstMs_.size() * aPercent / 100)];
-  }
-
-  EvenLoadResult Summary()
-  {
-    EvenLoadResult result;
-    result.arrivals_ = arrivals_;
-    result.turnedAway_ = turnedAway_;
-    result.givenUp_ = givenUp_;
-    result.longPauses_ = longPauses_;
-    result.busiestToMean_ = ratios_ / std::max(1.0, ticks_);
-    double slow = 0;
-    double others = 0;
-    double slowServers = 0;
-    std::uint64_t busiest = 0;
-    for (std::uint32_t i = 0; i < settings_.servers_; ++i) {
-      busiest = std::max(busiest, servers_[i].arrivals_);
-      const auto arrivals = static_cast<double>(servers_[i].arrivals_);
-      (IsSlow(i) ? slow : others) += arrivals;
-      slowServers += IsSlow(i) ? 1 : 0;
-    }
-    const double all = std::max<double>(1, static_cast<double>(arrivals_));
-    result.arrivalsBusiestToMean_ =
-      static_cast<double>(busiest) * settings_.servers_ / all;
-    if (slowServers > 0 && others > 0) {
-      result.slowToOthers_ =
-        slow / slowServers / (others / (settings_.servers_ - slowServers));
-    }
-    std::ranges::sort(firstMs_);
-    for (const double ms : firstMs_) {
-      result.firstMeanMs_ += ms / static_cast<double>(firstMs_.size());
-    }
-    result.firstP95Ms_ = Percentile(95);
-    result.firstP99Ms_ = Percentile(99);
-    result.rowsPerReply_ =
-      static_cast<double>(rows_) /
-      static_cast<double>(std::max<std::uint64_t>(1, replies_));
-    result.estimateError_ =
-      std::sqrt(squaredErrors_ /
-                static_cast<double>(std::max<std::uint64_t>(1, estimates_)));
-    return result;
-  }
-
   const coordination::ServiceName service_{ "llm" };
   EvenLoadSettings settings_;
   core::Random random_;
   core::MonotonicTime now_ = kStart;
   coordination::FleetTable table_;
   std::vector<EvenLoadServer> servers_;
-  std::deque<Host> hosts_;
+  std::deque<EvenLoadHost> hosts_;
   std::vector<double> popularity_;
   double allPopularity_ = 0;
   std::deque<EvenLoadRequest> requests_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  std::vector<double> firstMs_;
-  std::uint64_t arrivals_ = 0;
-  std::uint64_t turnedAway_ = 0;
-  std::uint64_t givenUp_ = 0;
-  std::uint64_t longPauses_ = 0;
-  std::uint64_t rows_ = 0;
-  std::uint64_t replies_ = 0;
-  std::uint64_t estimates_ = 0;
-  double squaredErrors_ = 0;
-  double ratios_ = 0;
-  double ticks_ = 0;
+  admission::FleetLines fleetLines_;
 };
 
 } // namespace crocusslip::bench
--- a/bench/EvenLoadTypes.hpp
+++ b/bench/EvenLoadTypes.hpp
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "admission/LineTable.hpp"
 #include "coordination/BackendView.hpp"
+#include "coordination/DispatchQueue.hpp"
 #include "core/Clock.hpp"
 
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace crocusslip::bench {
@@ -30,6 +34,10 @@
   std::optional<core::Duration> leaderLostAt_;
   /// Whether servers name their load and pace in answers.
   bool namesPace_ = true;
+  /// Whether requests that can't begin in time are refused on arrival.
+  bool refusesEarly_ = false;
+  /// Time within which callers want the first event.
+  core::Duration patience_ = std::chrono::seconds(5);
   std::uint64_t seed_ = 1;
 };
 
@@ -40,6 +48,14 @@
   std::uint64_t turnedAway_ = 0;
   /// Requests without a first event in time.
   std::uint64_t givenUp_ = 0;
+  /// Requests refused on arrival.
+  std::uint64_t refusedEarly_ = 0;
+  /// Requests whose first event came in time, of those of each rank; half of
+  /// all are of rank 0.
+  double servedUrgent_ = 0;
+  double servedOther_ = 0;
+  /// Mean time from the arrival of a request to its refusal.
+  double refusalMs_ = 0;
   /// Starts of prompts that let streams pause for longer than callers bear.
   std::uint64_t longPauses_ = 0;
   /// Greatest number of requests in flight at a server by the mean, over time.
@@ -80,7 +96,27 @@
   coordination::BackendRequirements need_;
   std::uint32_t answerTokens_ = 0;
   std::uint32_t turnedAway_ = 0;
+  std::uint32_t rank_ = 0;
   core::MonotonicTime arrivedAt_;
+  core::MonotonicTime sentAt_;
+};
+
+/// An entry host of the model.
+struct EvenLoadHost
+{
+  explicit EvenLoadHost(std::uint32_t aIndex)
+    : id_("h" + std::to_string(aIndex))
+  {
+  }
+  core::HostId id_;
+  coordination::BackendView view_{ core::FailureDomainId("a") };
+  coordination::DispatchQueue queue_;
+  std::map<coordination::DispatchQueue::Id, std::uint32_t> waiting_;
+  std::uint64_t seen_ = 0;
+  admission::LineTable lines_;
+  /// Requests that got a place since the last report.
+  std::map<core::ModelName, std::uint32_t> begun_;
+  std::map<core::ModelName, std::uint32_t> inFlight_;
 };
 
 } // namespace crocusslip::bench
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -94,6 +94,9 @@
   /// More urgent requests that wait for the model at other hosts. Free places
   /// at servers that name their pace are left to them.
   std::uint32_t moreUrgentElsewhere_ = 0;
+  /// All requests that wait for the model at other hosts. They fill the places
+  /// that become free.
+  std::uint32_t waitingElsewhere_ = 0;
   /// Servers that were already tried.
   std::set<core::ServerId> tried_;
 };
@@ -274,7 +277,8 @@
   /// Factor of the cost of a server that answers less surely or from afar.
   double PenaltyOf(const Server& aServer) const;
   routing::LoadEstimate Estimate(const Server& aServer,
-                                 core::MonotonicTime aNow) const;
+                                 core::MonotonicTime aNow,
+                                 std::uint32_t aWaitingElsewhere) const;
   routing::ServerCandidate MakeCandidate(
     const Server& aServer,
     const BackendRequirements& aRequirements,
--- a/coordination/BackendViewEstimates.cpp
+++ b/coordination/BackendViewEstimates.cpp
@@ -13,6 +13,11 @@
 /// Prefill time per prompt token of a server whose time is not known.
 constexpr std::chrono::nanoseconds kUsualTokenTime{ 50'000 };
 constexpr double kMinSlowness = 0.25;
+/// Requests, relative to its slots, at a server for which requests wait at
+/// other hosts, and the number of these from which that is so: it is full and
+/// has a line of its own.
+constexpr double kContendedLoad = 4.0 / 3;
+constexpr double kContendingRequests = 4;
 /// Largest share of a server's places that is kept for more urgent requests of
 /// other hosts.
 constexpr double kMaxKeptShare = 0.5;
@@ -49,18 +54,26 @@
   if (found == servers_.end() || !UsesEstimate(found->second)) {
     return std::nullopt;
   }
-  return Estimate(found->second, aNow);
+  return Estimate(found->second, aNow, 0);
 }
 
 routing::LoadEstimate
-BackendView::Estimate(const Server& aServer, core::MonotonicTime aNow) const
+BackendView::Estimate(const Server& aServer,
+                      core::MonotonicTime aNow,
+                      std::uint32_t aWaitingElsewhere) const
 {
   const double others = aServer.row_.othersInFlight_;
-  const auto usual = usualLoads_.find(aServer.row_.service_);
+  const auto found = usualLoads_.find(aServer.row_.service_);
+  double usual = found == usualLoads_.end() ? others : found->second;
+  const double contended = kContendedLoad * aServer.row_.slots_;
+  if (aWaitingElsewhere > 0 && usual < contended) {
+    // Places that become free are taken by those who wait.
+    usual += (contended - usual) *
+             std::min(1.0, aWaitingElsewhere / kContendingRequests);
+  }
   return aServer.estimate_.At(aNow,
                               { others, controlContact_ - kPublishedLag },
-                              usual == usualLoads_.end() ? others
-                                                         : usual->second,
+                              usual,
                               aServer.usage_.inFlight_);
 }
 
@@ -101,7 +114,7 @@
       static_cast<std::int64_t>(tokenTime * static_cast<double>(aTokens)));
   };
   routing::ServerCandidate candidate;
-  candidate.load_ = Estimate(aServer, aNow);
+  candidate.load_ = Estimate(aServer, aNow, aRequirements.waitingElsewhere_);
   candidate.usableSlots_ = routing::UsableSlots(
     row.slots_,
     candidate.load_.pace_,
--- a/coordination/DispatchQueue.cpp
+++ b/coordination/DispatchQueue.cpp
@@ -59,11 +59,10 @@
 }
 
 void
-DispatchQueue::SetMoreUrgentElsewhere(
-  const std::function<std::uint32_t(const QueuedRequest&)>& aCount)
+DispatchQueue::Update(const std::function<void(QueuedRequest&)>& aUpdate)
 {
   for (auto& [id, request] : waiting_) {
-    request.need_.moreUrgentElsewhere_ = aCount(request);
+    aUpdate(request);
   }
 }
 
--- a/coordination/DispatchQueue.hpp
+++ b/coordination/DispatchQueue.hpp
@@ -44,10 +44,8 @@
   std::vector<Grant> Assign(BackendView& aView,
                             core::MonotonicTime aNow,
                             core::Random& aRandom);
-  /// Asks aCount for the more urgent requests that wait elsewhere for the model
-  /// of each waiting request.
-  void SetMoreUrgentElsewhere(
-    const std::function<std::uint32_t(const QueuedRequest&)>& aCount);
+  /// Calls aUpdate for each waiting request, whose need it may change.
+  void Update(const std::function<void(QueuedRequest&)>& aUpdate);
   /// Grants that the last Assign lacked: one for each waiting request, and one
   /// for each server that would have suited a request better than its own since
   /// the last call.
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -112,6 +112,9 @@
   void ApplyLines(const wire::SyncReply& aReply);
   /// Adds what waits here for models whose servers name their pace.
   void ReportLines(std::map<core::ModelName, wire::ModelUse>& aModels);
+  /// Sets what a request knows of those that wait at other hosts.
+  void SetWaitingElsewhere(coordination::BackendRequirements& aNeed,
+                           std::uint32_t aRank) const;
   /// A request for the model got a place at a server.
   void RecordBegun(const core::ModelName& aModel);
   /// Records that a server's connection broke while it ran the request. aParts
--- a/entry/GatewayLines.cpp
+++ b/entry/GatewayLines.cpp
@@ -47,13 +47,22 @@
     out.inFlight_ = static_cast<std::uint32_t>(std::max(0, line.inFlight));
     out.begunPerSecond_ = std::max(0, line.begunMilli) / kRateUnits;
   }
-  const core::MonotonicTime now = clock_.Now();
-  lines_.OnLines(std::move(lines), now);
-  queue_.SetMoreUrgentElsewhere([&](const coordination::QueuedRequest& aOne) {
-    return lines_.MoreUrgentElsewhere(aOne.need_.model_, aOne.priority_, now);
+  lines_.OnLines(std::move(lines), clock_.Now());
+  queue_.Update([&](coordination::QueuedRequest& aOne) {
+    SetWaitingElsewhere(aOne.need_, aOne.priority_);
   });
 }
 
+void
+Gateway::SetWaitingElsewhere(coordination::BackendRequirements& aNeed,
+                             std::uint32_t aRank) const
+{
+  const core::MonotonicTime now = clock_.Now();
+  aNeed.moreUrgentElsewhere_ =
+    lines_.MoreUrgentElsewhere(aNeed.model_, aRank, now);
+  aNeed.waitingElsewhere_ = lines_.WaitingElsewhere(aNeed.model_, now);
+}
+
 void
 Gateway::RecordBegun(const core::ModelName& aModel)
 {
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -98,8 +98,7 @@
   if (HeldBack() || givenUp_) {
     co_return false;
   }
-  requirements_.moreUrgentElsewhere_ =
-    gateway_.lines_.MoreUrgentElsewhere(requirements_.model_, rank_, now);
+  gateway_.SetWaitingElsewhere(requirements_, rank_);
   queueId_ = gateway_.queue_.Add({ requirements_,
                                    rank_,
                                    arrivedAt_,
@@ -146,6 +145,7 @@
   queueTime_ = gateway_.clock_.Now() - arrivedAt_;
   gateway_.RecordBegun(requirements_.model_);
   requirements_.moreUrgentElsewhere_ = 0;
+  requirements_.waitingElsewhere_ = 0;
   loadAtAssignment_ = gateway_.view_.LoadOf(aChoice.server_);
   timer_.cancel();
 }
--- a/tests/EvenLoadTest.cpp
+++ b/tests/EvenLoadTest.cpp
@@ -237,6 +237,25 @@
   BOOST_TEST(Places() == 8);
 }
 
+// Guards against hosts that all take a place which the age of their knowledge
+// seems to have made free: those that wait elsewhere have taken it.
+BOOST_AUTO_TEST_CASE(DoesNotExpectPlacesThatOthersWaitFor)
+{
+  NamePace(100);
+  coordination::BackendRow row = *view_.Find(core::ServerId("s1"));
+  row.othersInFlight_ = 12;
+  view_.Update(row);
+  view_.OnLoadSighting(core::ServerId("s1"), { 12, 0, 12, 100, kStart });
+  view_.OnControlContact(95, kStart);
+  need_.tried_ = { core::ServerId("s2"), core::ServerId("s3") };
+  const auto status = [&] {
+    return view_.Choose(need_, kStart + 800ms, random_).status_;
+  };
+  BOOST_TEST((status() == coordination::BackendChoiceStatus::Found));
+  need_.waitingElsewhere_ = 8;
+  BOOST_TEST((status() == coordination::BackendChoiceStatus::Full));
+}
+
 BOOST_AUTO_TEST_CASE(NeverLeavesAllPlacesToMoreUrgentRequests)
 {
   NamePace(100);
@@ -281,4 +300,21 @@
   BOOST_TEST(after.firstP95Ms_ < 0.7 * before.firstP95Ms_);
 }
 
+// Guards against refusals in place of answers, and against more urgent requests
+// that are served less than others.
+BOOST_AUTO_TEST_CASE(IsRefusedEarlyWithoutFewerAnswers)
+{
+  bench::EvenLoadSettings settings;
+  settings.requestsPerHost_ = 7;
+  settings.patience_ = 2s;
+  const bench::EvenLoadResult late = bench::EvenLoadModel(settings).Run();
+  settings.refusesEarly_ = true;
+  const bench::EvenLoadResult early = bench::EvenLoadModel(settings).Run();
+  BOOST_TEST(early.servedUrgent_ + early.servedOther_ >
+             0.98 * (late.servedUrgent_ + late.servedOther_));
+  BOOST_TEST(early.servedUrgent_ > early.servedOther_);
+  BOOST_TEST(early.refusalMs_ < 0.7 * late.refusalMs_);
+  BOOST_TEST(early.turnedAway_ < 0.4 * late.turnedAway_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
