Report begun requests only of servers that name their pace

Cause: hosts reported each request that got a place at an engine, also where servers name no pace; a model could then be in a report that would have been left out before.

Change: only requests whose server was chosen by an estimate count as begun, so that reports of other deployments have the same rows as before.

--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -115,7 +115,7 @@
   /// Sets what a request knows of those that wait at other hosts.
   void SetWaitingElsewhere(coordination::BackendRequirements& aNeed,
                            std::uint32_t aRank) const;
-  /// A request for the model got a place at a server.
+  /// A request for the model got a place at a server that names its pace.
   void RecordBegun(const core::ModelName& aModel);
   /// Records that a server's connection broke while it ran the request. aParts
   /// are the shared parts of its prompt if no event had come yet.
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -143,7 +143,9 @@
   choice_ = aChoice;
   hasSlot_ = true;
   queueTime_ = gateway_.clock_.Now() - arrivedAt_;
-  gateway_.RecordBegun(requirements_.model_);
+  if (aChoice.estimate_) {
+    gateway_.RecordBegun(requirements_.model_);
+  }
   requirements_.moreUrgentElsewhere_ = 0;
   requirements_.waitingElsewhere_ = 0;
   loadAtAssignment_ = gateway_.view_.LoadOf(aChoice.server_);
