Compare the tenants' use of scarce servers and hold those at their share

Cause: with a tenant at 7.5 times its usual the others lost a fifth of their requests: each host gave free slots to its own oldest request. Change: hosts report running and waiting requests by tenant where servers are scarce; the leader compares them with equal parts (admission/FairShares) and tells the percent of tenants at their share or above. DispatchQueue goes by steps of overuse, then by half of the time waited, rank and age, and gives such tenants no slot while servers are scarce.

--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -125,6 +125,7 @@
   routesVersion_ = 0;
   table_ = {};
   rateGrants_ = {};
+  fairShares_ = {};
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/FairShares.hpp"
 #include "admission/QuotaBound.hpp"
 #include "control/BackendPort.hpp"
 #include "control/GroupHost.hpp"
@@ -143,6 +144,12 @@
                     core::MonotonicTime aNow);
   void TakePromptParts(const wire::SyncRequest& aRequest,
                        core::MonotonicTime aNow);
+  void TakeTenantUses(const wire::SyncRequest& aRequest,
+                      core::MonotonicTime aNow);
+  /// Adds the tenants of the report that use their fair share or more.
+  void FillTenantShares(const wire::SyncRequest& aRequest,
+                        wire::SyncReply& aReply,
+                        core::MonotonicTime aNow);
   void Fill(const wire::SyncRequest& aRequest,
             wire::SyncReply& aReply,
             core::MonotonicTime aNow);
@@ -202,6 +209,7 @@
   bool routesTakenByAll_ = false;
   coordination::FleetTable table_;
   coordination::RateGrants rateGrants_;
+  admission::FairShares fairShares_;
   coordination::ModelPlacement placement_;
   /// Kept over terms.
   coordination::UnansweredOrders unanswered_;
--- a/control/FleetControllerHosts.cpp
+++ b/control/FleetControllerHosts.cpp
@@ -275,6 +275,7 @@
   RecordRoutesTaken(aRequest);
   TakeSuspects(aRequest, clock_.Now());
   TakePromptParts(aRequest, clock_.Now());
+  TakeTenantUses(aRequest, clock_.Now());
   const bool known = aRequest.epoch == static_cast<std::int64_t>(term.Value());
   const auto wait =
     std::min(kLongestWait, std::chrono::milliseconds(aRequest.waitMs));
@@ -386,6 +387,7 @@
              aReply);
   }
   FillRoutes(aRequest, aReply);
+  FillTenantShares(aRequest, aReply, aNow);
   aReply.members = group_.MemberAddresses();
   aReply.hosts = static_cast<std::int32_t>(table_.HostCount());
   for (const auto& suspect : guard_.Suspected(kToldServersLost, aNow)) {
--- a/coordination/BackendView.cpp
+++ b/coordination/BackendView.cpp
@@ -308,6 +308,24 @@
   controlContact_ = aNow;
 }
 
+bool
+BackendView::SlotsTaken(const BackendRequirements& aRequirements) const
+{
+  std::uint64_t inFlight = 0;
+  std::uint64_t slots = 0;
+  for (const auto& [id, server] : servers_) {
+    const BackendRow& row = server.row_;
+    const bool suits = aRequirements.model_.Empty() ||
+                       row.models_.contains(aRequirements.model_);
+    if (suits && row.service_ == aRequirements.service_ &&
+        row.state_ == BackendState::Ready) {
+      inFlight += row.othersInFlight_ + server.usage_.inFlight_;
+      slots += row.slots_;
+    }
+  }
+  return slots > 0 && inFlight >= slots;
+}
+
 BackendChoice
 BackendView::Choose(const BackendRequirements& aRequirements,
                     core::MonotonicTime aNow,
--- a/coordination/BackendView.hpp
+++ b/coordination/BackendView.hpp
@@ -196,6 +196,9 @@
     /// The last sighting, while it concerns a limit.
     std::optional<RateSighting> sighting_;
   };
+  /// Whether the ready servers that could run the request have in all as many
+  /// requests as slots, or more.
+  bool SlotsTaken(const BackendRequirements& aRequirements) const;
   /// Returns the usage of servers that have any; resets outcomes, prompt times
   /// and missing models.
   std::map<core::ServerId, Usage> TakeUsage();
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -108,6 +108,10 @@
   void ApplyServerRows(const wire::SyncReply& aReply);
   void ApplyServerRow(const wire::ServerRow& aRow);
   void ApplySuspects(const wire::SyncReply& aReply);
+  /// Adds the tenants with requests, and how many of these are for scarce
+  /// servers.
+  void FillTenantUses(wire::SyncRequest& aRequest);
+  void ApplyTenantShares(const wire::SyncReply& aReply);
   /// Records that a server's connection broke while it ran the request. aParts
   /// are the shared parts of its prompt if no event had come yet.
   void RecordBrokenConnection(
@@ -171,6 +175,10 @@
     std::uint32_t arrivals_ = 0;
   };
   std::map<core::ModelName, ModelUse> models_;
+  /// Requests in flight at servers, by tenant and by what they require.
+  std::map<admission::TenantName,
+           std::map<coordination::DispatchQueue::Demand, std::uint32_t>>
+    tenantRuns_;
   /// Models of the requests in flight, by server; one entry per request.
   std::map<core::ServerId, std::multiset<core::ModelName>> runningModels_;
   /// Tracks requests during which servers broke their connections.
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -506,7 +506,9 @@
   ++sends_;
   sentAt_ = gateway_.clock_.Now();
   activeLink_ = link.get();
+  CountTenantRun(true);
   const AttemptResult outcome = co_await Exchange(*link);
+  CountTenantRun(false);
   activeLink_ = nullptr;
   if (!model.Empty()) {
     --models[model].inFlight_;
--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -72,6 +72,8 @@
   bool KeyWithdrawn() const;
   /// Takes the tenant to which the newest table has moved the key, if it has.
   void UpdateTenant();
+  /// Counts the request as in flight for its tenant, or no longer.
+  void CountTenantRun(bool aBegins);
   /// Whether servers identify callers by this header.
   bool IdentifiesCaller(std::string_view aHeader) const;
   transport::Task<void> AwaitRoutes();
--- a/entry/GatewaySlots.cpp
+++ b/entry/GatewaySlots.cpp
@@ -2,6 +2,7 @@
 #include "entry/GatewayCall.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusslip::entry {
 
@@ -85,11 +86,22 @@
   if (HeldBack() || KeyWithdrawn() || givenUp_) {
     co_return false;
   }
-  queueId_ = gateway_.queue_.Add({ requirements_,
-                                   rank_,
-                                   arrivedAt_,
-                                   deadline_,
-                                   arrivedAt_ + route_->latencyTarget_ / 2 });
+  coordination::QueuedRequest waiting;
+  waiting.need_ = requirements_;
+  waiting.priority_ = rank_;
+  waiting.waitingSince_ = arrivedAt_;
+  waiting.deadline_ = deadline_;
+  waiting.urgentFrom_ = arrivedAt_ + route_->latencyTarget_ / 2;
+  if (tenant_ != nullptr) {
+    waiting.tenant_ = tenant_->name_;
+    const core::Duration time =
+      route_->kind_ == RequestKind::Stream
+        ? std::min<core::Duration>(deadline_ - arrivedAt_,
+                                   route_->callerIdleTimeout_)
+        : deadline_ - arrivedAt_;
+    waiting.promotedFrom_ = arrivedAt_ + time / 2;
+  }
+  queueId_ = gateway_.queue_.Add(std::move(waiting));
   gateway_.waiting_[*queueId_] = this;
   gateway_.AssignSlots();
   while (!hasSlot_ && !callerGone_) {
--- a/entry/GatewaySync.cpp
+++ b/entry/GatewaySync.cpp
@@ -167,6 +167,7 @@
     use.model = name.Value();
     request.models.push_back(std::move(use));
   }
+  FillTenantUses(request);
   // A report without a reply may be lost.
   sentCrashReports_.insert(
     sentCrashReports_.end(), crashReports_.begin(), crashReports_.end());
@@ -205,6 +206,7 @@
   ApplyRoutes(aReply);
   ApplySuspects(aReply);
   ApplyServerRows(aReply);
+  ApplyTenantShares(aReply);
   if (aReply.hosts > 0 && hosts_ != static_cast<std::uint32_t>(aReply.hosts)) {
     hosts_ = static_cast<std::uint32_t>(aReply.hosts);
     for (auto& [service, budget] : budgets_) {
--- a/tests/TenantKeysTest.cpp
+++ b/tests/TenantKeysTest.cpp
@@ -23,6 +23,7 @@
 const std::string kAcme = R"({"Name":"acme","ApiKeys":["sesame"]})";
 const std::string kWithoutKeys = R"({"Name":"acme"})";
 const std::string kOther = R"({"Name":"other","ApiKeys":["word"]})";
+const std::string kAcmeWithoutKeys = kWithoutKeys + "," + kOther;
 
 std::string
 Config(std::int64_t aVersion, const std::string& aTenants)
@@ -281,7 +282,7 @@
         statuses.push_back(head.status_);
       }
       // The tenant's last key goes, then the tenant.
-      Publish(i == 0 ? kWithoutKeys + "," + kOther : kOther);
+      Publish(i == 0 ? kAcmeWithoutKeys : kOther);
       while (!HasRoutes()) {
         co_await transport::Sleep(timer, 10ms);
       }
@@ -303,8 +304,10 @@
   AwaitRoutes();
   const auto request = [](const std::string& aMethod,
                           const std::string& aFields) {
-    return aMethod + " /safe/a HTTP/1.1\r\nHost: h.example\r\nId: abc\r\n" +
-           aFields + "\r\n";
+    return std::string(aMethod)
+      .append(" /safe/a HTTP/1.1\r\nHost: h.example\r\nId: abc\r\n")
+      .append(aFields)
+      .append("\r\n");
   };
   const std::string answers = Exchange(
     request("GET", "Authorization: Bearer sesame\r\n") + request("HEAD", "") +
@@ -400,7 +403,7 @@
 
 BOOST_FIXTURE_TEST_CASE(IsRefusedNotRunOnceItsTenantHasNoKeys, Fixture)
 {
-  const auto answer = CallWhilePublishing(kWithoutKeys + "," + kOther);
+  const auto answer = CallWhilePublishing(kAcmeWithoutKeys);
   BOOST_TEST(answer.status_ == 401U);
   BOOST_TEST(arrivals_ == 0);
 }
@@ -423,28 +426,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Guards against a metrics page that grows with the number of tenants.
-BOOST_AUTO_TEST_CASE(TenantsAreCountedByNameUpToABound)
+BOOST_AUTO_TEST_SUITE(AHostWithFullServers)
+
+// Guards against a leader that can't compare the tenants' use, and against a
+// host that gives a slot to a tenant above its share at once.
+BOOST_FIXTURE_TEST_CASE(ReportsTenantsAndTakesTheirShares, Fixture)
 {
-  core::MetricsRegistry metrics;
-  entry::TenantCounters counters(metrics);
-  counters.OnRequest(admission::TenantName("a\"b"));
-  for (std::size_t i = 0; i < 2 * entry::TenantCounters::kMaxNamedTenants;
-       ++i) {
-    counters.OnRequest(admission::TenantName("t" + std::to_string(i)));
-  }
-  counters.OnRefusal(admission::TenantName("t0"));
-  const std::string text = metrics.Text();
-  const auto has = [&](const std::string& aLine) {
-    return text.find("\n" + aLine + "\n") != std::string::npos;
+  StartRecorder();
+  fleet_->SetOthersInFlight("s1", kServerSlots);
+  fleet_->SetShare("acme", 150);
+  AwaitRoutes();
+  std::vector<std::string> served;
+  const auto call = [&](const std::string& aKey) {
+    transport::Spawn(loop_, [this, &served, aKey]() -> Task<void> {
+      HttpRequest request = Request("/safe/a");
+      request.set("Authorization", "Bearer " + aKey);
+      const auto answer =
+        co_await transport::CallOnce(loop_, callerAddress_, request, 5s);
+      served.push_back(answer.Ok() && answer.Value().status_ == 200 ? aKey
+                                                                    : "");
+    });
   };
-  BOOST_TEST(has(R"(crocusslip_tenant_requests_total{tenant="a\"b"} 1)"));
-  BOOST_TEST(has(R"(crocusslip_tenant_refusals_total{tenant="t0"} 1)"));
-  BOOST_TEST(has(R"(crocusslip_tenant_requests_total{tenant="t62"} 1)"));
-  BOOST_TEST(has(R"(crocusslip_tenant_requests_total{tenant="other"} 65)"));
-  BOOST_TEST(text.find("t63") == std::string::npos);
+  call("sesame");
+  loop_.run_for(200ms);
+  call("word");
+  const auto until = std::chrono::steady_clock::now() + kTestTimeout;
+  while (fleet_->TenantUses().size() < 2 &&
+         std::chrono::steady_clock::now() < until) {
+    loop_.run_for(10ms);
+  }
+  const auto uses = fleet_->TenantUses();
+  BOOST_REQUIRE(uses.size() == 2U);
+  BOOST_TEST(uses[0].tenant == "acme");
+  BOOST_TEST(uses[0].waiting == 1);
+  BOOST_TEST(uses[0].running == 0);
+  BOOST_TEST(served.empty());
+  fleet_->SetOthersInFlight("s1", 0);
+  while (served.size() < 2 && std::chrono::steady_clock::now() < until) {
+    loop_.run_for(10ms);
+  }
+  const std::vector<std::string> expected{ "word", "sesame" };
+  BOOST_TEST(served == expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AStreamWithAKey)
 
 BOOST_FIXTURE_TEST_CASE(RunsToItsEndAfterItsKeyIsWithdrawn, Fixture)
--- a/tests/TenantsReaderTest.cpp
+++ b/tests/TenantsReaderTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "entry/TenantCounters.hpp"
 #include "platform/RoutesReader.hpp"
 
 #include <set>
@@ -193,3 +194,25 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a metrics page that grows with the number of tenants.
+BOOST_AUTO_TEST_CASE(TenantsAreCountedByNameUpToABound)
+{
+  core::MetricsRegistry metrics;
+  entry::TenantCounters counters(metrics);
+  counters.OnRequest(admission::TenantName("a\"b"));
+  for (std::size_t i = 0; i < 2 * entry::TenantCounters::kMaxNamedTenants;
+       ++i) {
+    counters.OnRequest(admission::TenantName("t" + std::to_string(i)));
+  }
+  counters.OnRefusal(admission::TenantName("t0"));
+  const std::string text = metrics.Text();
+  const auto has = [&](const std::string& aLine) {
+    return text.find("\n" + aLine + "\n") != std::string::npos;
+  };
+  BOOST_TEST(has(R"(crocusslip_tenant_requests_total{tenant="a\"b"} 1)"));
+  BOOST_TEST(has(R"(crocusslip_tenant_refusals_total{tenant="t0"} 1)"));
+  BOOST_TEST(has(R"(crocusslip_tenant_requests_total{tenant="t62"} 1)"));
+  BOOST_TEST(has(R"(crocusslip_tenant_requests_total{tenant="other"} 65)"));
+  BOOST_TEST(text.find("t63") == std::string::npos);
+}
--- a/tests/support/GatewayFixture.hpp
+++ b/tests/support/GatewayFixture.hpp
@@ -88,6 +88,7 @@
     aReply.complete = aRequest.epoch != 1;
     aReply.hosts = 1;
     reportedRoutes_ = aRequest.routesVersion;
+    tenantUses_ = aRequest.tenants;
     aReply.routesVersion = routesVersion_;
     if (aRequest.routesVersion < routesVersion_ && aRequest.takesCompressed) {
       aReply.compressedRoutes = protocol::Compress(routes_);
@@ -187,6 +188,21 @@
     routes_ = std::move(aText);
   }
 
+  /// The tenants of the last report.
+  std::vector<wire::TenantUse> TenantUses()
+  {
+    const std::lock_guard lock(mutex_);
+    return tenantUses_;
+  }
+  /// Answers reports with the use of the tenant against its share.
+  void SetShare(const std::string& aTenant, std::int32_t aPercent)
+  {
+    const std::lock_guard lock(mutex_);
+    reply_.tenants.resize(1);
+    reply_.tenants.front().tenant = aTenant;
+    reply_.tenants.front().sharePercent = aPercent;
+  }
+
   /// Version of the routes that the gateway has.
   std::int64_t ReportedRoutes()
   {
@@ -211,6 +227,7 @@
   int crashReportsToFail_ = 0;
   std::int64_t routesVersion_ = 1;
   std::int64_t reportedRoutes_ = 0;
+  std::vector<wire::TenantUse> tenantUses_;
   std::string routes_ = "routes";
   /// Differs from the epoch, which stays while a new leader reads the list.
   std::int64_t crashEpoch_ = 2;
