--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -274,6 +274,16 @@
               "busiest models",
               { { "models", placement_.Summary(kSummaryModels) },
                 { "hosts", std::to_string(table_.HostCount()) } });
+    std::string held;
+    for (const auto& [tenant, percent] : fairShares_.Percents(now)) {
+      held += held.empty() ? "" : " ";
+      held += tenant.Value() + ":" + std::to_string(percent);
+    }
+    if (!held.empty()) {
+      core::Log(core::LogLevel::Info,
+                "tenants at their share",
+                { { "percent", held } });
+    }
   }
   ReserveForLateOrders(now);
   std::vector<PlacementOrder> orders;
