--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/FairShares.hpp"
 #include "admission/FleetLines.hpp"
 #include "admission/QuotaBound.hpp"
 #include "admission/QuotaLedger.hpp"
@@ -185,6 +186,12 @@
                     core::MonotonicTime aNow);
   void TakePromptParts(const wire::SyncRequest& aRequest,
                        core::MonotonicTime aNow);
+  void TakeTenantUses(const wire::SyncRequest& aRequest,
+                      core::MonotonicTime aNow);
+  /// Adds the tenants of the report that use their fair share or more.
+  void FillTenantShares(const wire::SyncRequest& aRequest,
+                        wire::SyncReply& aReply,
+                        core::MonotonicTime aNow);
   void Fill(const wire::SyncRequest& aRequest,
             wire::SyncReply& aReply,
             core::MonotonicTime aNow);
@@ -255,6 +262,7 @@
   admission::FleetLines lines_;
   coordination::RateGrants rateGrants_;
   admission::QuotaLedger quotas_{ admission::QuotaBound{} };
+  admission::FairShares fairShares_;
   coordination::ModelPlacement placement_;
   /// Kept over terms.
   coordination::UnansweredOrders unanswered_;
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -140,6 +140,10 @@
                            std::uint32_t aRank) const;
   /// A request for the model got a place at a server that names its pace.
   void RecordBegun(const core::ModelName& aModel);
+  /// Adds the tenants with requests, and how many of these are for scarce
+  /// servers.
+  void FillTenantUses(wire::SyncRequest& aRequest);
+  void ApplyTenantShares(const wire::SyncReply& aReply);
   /// Records that a server's connection broke while it ran the request. aParts
   /// are the shared parts of its prompt if no event had come yet.
   void RecordBrokenConnection(
@@ -213,6 +217,10 @@
     std::uint32_t arrivals_ = 0;
   };
   std::map<core::ModelName, ModelUse> models_;
+  /// Requests in flight at servers, by tenant and by what they require.
+  std::map<admission::TenantName,
+           std::map<coordination::DispatchQueue::Demand, std::uint32_t>>
+    tenantRuns_;
   /// Models of the requests in flight, by server; one entry per request.
   std::map<core::ServerId, std::multiset<core::ModelName>> runningModels_;
   /// Tracks requests during which servers broke their connections.
--- a/entry/GatewayCall.cpp
+++ b/entry/GatewayCall.cpp
@@ -534,7 +534,9 @@
   sentAt_ = gateway_.clock_.Now();
   activeLink_ = link.get();
   ChargeQuota();
+  CountTenantRun(true);
   const AttemptResult outcome = co_await Exchange(*link);
+  CountTenantRun(false);
   activeLink_ = nullptr;
   if (outcome == AttemptResult::RetryNotRun ||
       outcome == AttemptResult::RetryUnsent) {
