--- a/entry/Gateway.cpp
+++ b/entry/Gateway.cpp
@@ -21,6 +21,10 @@
 namespace http = transport::http;
 
 constexpr std::chrono::milliseconds kHousekeepingInterval{ 500 };
+/// Bounds of the address that the load balancer and the collector of metrics
+/// ask; neither sends a body.
+constexpr std::size_t kMaxReadinessConnections = 64;
+constexpr std::uint64_t kMaxReadinessBody = 4096;
 /// Time from SIGTERM until new connections are refused. The load balancer stops
 /// sending them after two readiness checks, which it makes a second apart.
 constexpr std::chrono::milliseconds kAcceptTimeAfterTerm{ 3000 };
@@ -81,7 +85,8 @@
       clock_,
       admission::ByteLimits::ForMemory(settings_.memoryLimit_),
       metrics_))
-  , maxCallers_(MaxCallerConnections(settings_))
+  , callerBound_(MaxCallerConnections(settings_))
+  , readinessBound_(kMaxReadinessConnections)
   , view_(settings_.failureDomain_)
   , crashGuard_(MakeGuardSettings())
   , fleet_(
@@ -108,8 +113,12 @@
     });
   readinessListener_ = std::make_unique<transport::LinkListener>(
     loop_, settings_.readinessAddress_, [this](transport::Tcp::socket aSocket) {
+      if (!readinessBound_.Admit(readinessLinks_).admitted_) {
+        return;
+      }
       auto link =
         std::make_shared<transport::CallerLink>(std::move(aSocket), Limits());
+      readinessLinks_.insert(link);
       transport::Spawn(loop_, [this, link] { return ServeReadiness(link); });
     });
   core::Status started = callerListener_->Start();
@@ -240,10 +249,12 @@
 Task<void>
 Gateway::ServeReadiness(LinkPtr aLink)
 {
+  transport::LinkLimits limits;
+  limits.bodyBytes_ = kMaxReadinessBody;
   bool keepAlive = true;
   while (keepAlive) {
     HttpRequest request;
-    if (co_await aLink->Read(request, {}) != ReadResult::Complete) {
+    if (co_await aLink->Read(request, limits) != ReadResult::Complete) {
       break;
     }
     http::response<http::string_body> answer;
@@ -262,6 +273,7 @@
     keepAlive = co_await aLink->Write(answer) && request.keep_alive();
   }
   co_await aLink->Finish();
+  readinessLinks_.erase(aLink);
 }
 
 Task<void>
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -9,6 +9,7 @@
 #include "core/Clock.hpp"
 #include "core/Metrics.hpp"
 #include "core/Random.hpp"
+#include "entry/ConnectionBound.hpp"
 #include "entry/FleetLink.hpp"
 #include "entry/GatewaySettings.hpp"
 #include "entry/MemoryAccount.hpp"
@@ -103,11 +104,8 @@
   /// Answers a request that gave way to others, and that has not run.
   transport::Task<void> RejectYielded(LinkPtr aLink,
                                       const transport::HttpRequest& aRequest);
-  /// Whether there is a place for one more caller; closes idle connections for
-  /// it, then such as have stalled within a request.
+  /// Whether there is a place for one more caller.
   bool AdmitConnection();
-  std::size_t CloseIdlest(std::size_t aMost);
-  std::size_t CloseStalled(std::size_t aMost);
   transport::Task<void> Housekeeping();
   transport::Task<void> StopAfterGrace();
   void CloseIdleConnections();
@@ -165,7 +163,8 @@
   core::MetricsRegistry metrics_;
   std::unique_ptr<Counters> counters_;
   const std::shared_ptr<MemoryBudget> memory_;
-  const std::size_t maxCallers_;
+  const ConnectionBound callerBound_;
+  const ConnectionBound readinessBound_;
 
   std::shared_ptr<const coordination::RouteTable> routes_;
   coordination::BackendView view_;
@@ -214,6 +213,7 @@
   bool serversKnown_ = false;
 
   std::set<LinkPtr> callerLinks_;
+  std::set<LinkPtr> readinessLinks_;
   /// Calls from their request's last byte to the end of their answer.
   std::set<GatewayCall*> calls_;
   bool draining_ = false;
--- a/state/SettingsSchema.cpp
+++ b/state/SettingsSchema.cpp
@@ -171,6 +171,35 @@
   PageSection{ "Platform: `[platform]`", "", NodeKind::Platform },
 };
 
+constexpr std::string_view kPlatformLimits =
+  "\n## Limits of the programs for the users' platform\n\n"
+  "They follow from the settings file of the platform and have no key here.\n\n"
+  "| what | default | beyond it | metric |\n| --- | --- | --- | --- |\n"
+  "| requests that are read or served, and answers | 0.4 of `Limits.MemoryMb` "
+  "in all; none without it | reading stops; a request that yields: 503 with "
+  "`Retry-After`, not run | `crocusslip_held_bytes`, `crocusslip_yields_total` "
+  "|\n"
+  "| part of it for holders of up to 64 KiB | an eighth | - |  |\n"
+  "| part of it for answers | a quarter | an answer waits until its deadline, "
+  "then 502 or 504 |  |\n"
+  "| answers of servers that are not streams, in all | 32 MiB | as above |  |\n"
+  "| body without progress while others wait for room | 1 s | 503 with "
+  "`Retry-After`, not run | `crocusslip_yields_total{reason=\"stalled\"}` |\n"
+  "| wait of a body for room | 3 s | 503 with `Retry-After`, not run | "
+  "`crocusslip_yields_total{reason=\"waited\"}` |\n"
+  "| whole body | 600 s, without waits for room | 408, not run | "
+  "`crocusslip_refusals_total{reason=\"malformed\"}` |\n"
+  "| rate of a body | 1 KiB/s, after its first 20 s | 408, not run | "
+  "`crocusslip_refusals_total{reason=\"malformed\"}` |\n"
+  "| connections of callers | 0.75 of `Limits.MaxFds` less 200, and 0.2 of "
+  "`Limits.MemoryMb` at 10 KiB each; none without them | idle ones close, then "
+  "those without a byte of their request for 1 s, then the new one | "
+  "`crocusslip_connections_closed_total` |\n"
+  "| connections for readiness and metrics | 64, bodies up to 4 KiB | as above "
+  "|  |\n"
+  "| calls of operators to a control process | 32 MiB of bodies in all, 64 "
+  "connections | 503; as above | `crocusslip_held_bytes` |\n";
+
 } // namespace
 
 std::span<const SettingsKey>
@@ -265,7 +294,7 @@
       }
     }
   }
-  return page;
+  return page + std::string(kPlatformLimits);
 }
 
 } // namespace crocusslip::state
--- a/tests/OperatorApiTest.cpp
+++ b/tests/OperatorApiTest.cpp
@@ -6,7 +6,10 @@
 #include "platform/OperatorApi.hpp"
 #include "support/LocalSystem.hpp"
 
+#include <boost/asio/write.hpp>
+
 #include <string>
+#include <vector>
 
 using namespace crocusslip;
 using namespace std::chrono_literals;
@@ -93,3 +96,47 @@
     metrics_.Text().find("crocusslip_operator_calls_unavailable_total 1") !=
     std::string::npos);
 }
+
+// Guards against a control process that ends because each body is bounded and
+// their sum is not.
+BOOST_FIXTURE_TEST_CASE(ACrowdOfLargeBodiesIsBoundedAsAWhole, Fixture)
+{
+  constexpr int kClients = 8;
+  constexpr std::uint64_t kBound = 64 * core::kMebi;
+  const std::string text =
+    "POST /config/replace HTTP/1.1\r\nHost: h\r\nContent-Length: 12582912\r\n"
+    "\r\n" +
+    std::string(12 * core::kMebi - 1, ' ');
+  const std::uint64_t before = tests::ProcessMemory("self", "VmHWM:");
+  std::vector<transport::Tcp::socket> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(loop_);
+  }
+  for (transport::Tcp::socket& client : clients) {
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      boost::system::error_code error;
+      co_await client.async_connect(*transport::ParseEndpoint(address_),
+                                    transport::Catch(error));
+      co_await transport::asio::async_write(
+        client, transport::asio::buffer(text), transport::Catch(error));
+    });
+  }
+  loop_.run_for(3s);
+  bool done = false;
+  unsigned status = 0;
+  transport::Spawn(loop_, [&]() -> Task<void> {
+    transport::HttpRequest request{ transport::http::verb::get,
+                                    "/metrics",
+                                    11 };
+    const auto answer =
+      co_await transport::CallOnce(loop_, address_, request, 5s);
+    status = answer.Ok() ? answer.Value().status_ : 0;
+    done = true;
+  });
+  const auto until = std::chrono::steady_clock::now() + 10s;
+  while (!done && std::chrono::steady_clock::now() < until) {
+    loop_.run_for(10ms);
+  }
+  BOOST_TEST(status == 200U);
+  BOOST_TEST(tests::ProcessMemory("self", "VmHWM:") - before < kBound);
+}
--- a/tests/support/EntryProcess.hpp
+++ b/tests/support/EntryProcess.hpp
@@ -113,17 +113,9 @@
 
   bool Lives() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
   void Terminate() const { ::kill(pid_, SIGTERM); }
-  /// Bytes of a line of /proc/PID/status, e.g. "VmHWM:".
   std::uint64_t Memory(const std::string& aName) const
   {
-    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
-    for (std::string word; file >> word;) {
-      std::uint64_t kibi = 0;
-      if (word == aName && file >> kibi) {
-        return kibi * 1024;
-      }
-    }
-    return 0;
+    return ProcessMemory(std::to_string(pid_), aName);
   }
   std::size_t Descriptors() const
   {
--- a/tests/support/LocalSystem.hpp
+++ b/tests/support/LocalSystem.hpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <cstdint>
 #include <cstdlib>
+#include <fstream>
 #include <string>
 #include <unistd.h>
 
@@ -40,6 +41,20 @@
   return static_cast<std::uint16_t>(port);
 }
 
+/// Bytes of a line of /proc/PROCESS/status, e.g. "VmHWM:".
+inline std::uint64_t
+ProcessMemory(const std::string& aProcess, const std::string& aName)
+{
+  std::ifstream file("/proc/" + aProcess + "/status");
+  for (std::string word; file >> word;) {
+    std::uint64_t kibi = 0;
+    if (word == aName && file >> kibi) {
+      return kibi * 1024;
+    }
+  }
+  return 0;
+}
+
 /// Creates a folder under /tmp; returns an empty string on failure.
 inline std::string
 NewFolder()
