--- a/bench/QuotaBench.cpp
+++ b/bench/QuotaBench.cpp
@@ -1,8 +1,14 @@
 #include "bench/QuotaModel.hpp"
 
+#include "protocol/QuotaWire.hpp"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,6 +111,7 @@
     sum.waited_ += result.waited_;
     sum.messagesPerHost_ += result.messagesPerHost_;
     sum.entriesPerHost_ += result.entriesPerHost_;
+    sum.leaderMicros_ += result.leaderMicros_;
     if (result.peak_ > worst) {
       worst = result.peak_;
       worstTenant = result.peakTenant_;
@@ -120,7 +127,7 @@
   std::printf("%-10s %5u hosts use %.1f %-20s refused %6.2f%% wrongly %6.3f%% "
               "waited %6.2f%% peak %.3f (tenant %zu, %.1f s) over %llu/%llu "
               "messages %.2f entries "
-              "%.1f\n",
+              "%.1f leader %.1f us\n",
               aPolicy == QuotaPolicy::Ledger       ? "ledger"
               : aPolicy == QuotaPolicy::EqualSplit ? "equal"
                                                    : "free",
@@ -136,10 +143,38 @@
               static_cast<unsigned long long>(over),
               static_cast<unsigned long long>(aSeeds),
               sum.messagesPerHost_ / runs,
-              sum.entriesPerHost_ / runs);
+              sum.entriesPerHost_ / runs,
+              sum.leaderMicros_ / runs);
   std::fflush(stdout);
 }
 
+template<typename Entry>
+std::uint32_t
+BytesOf(const Entry& aEntry)
+{
+  auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+  apache::thrift::protocol::TCompactProtocol protocol(buffer);
+  aEntry.write(&protocol);
+  return buffer->available_read();
+}
+
+/// Bytes of entries of a tenant limited by tokens.
+void
+PrintSizes()
+{
+  wire::TenantUse use;
+  use.tenant = "tenant-name";
+  protocol::ToWire(admission::QuotaUse{ 3260, 2, 1630, 4890, 1630, 1, {} },
+                   use);
+  wire::TenantGrant grant;
+  grant.tenant = use.tenant;
+  protocol::ToWire(
+    admission::QuotaGrant{ 4890, true, 700, 1630, std::chrono::seconds(1) },
+    grant);
+  std::printf(
+    "bytes of a use %u, of a grant %u\n", BytesOf(use), BytesOf(grant));
+}
+
 } // namespace
 
 /// Arguments: hosts, requests a second, seeds, policy (ledger, equal, free),
@@ -153,6 +188,7 @@
   const auto seeds =
     static_cast<std::uint64_t>(argc > 3 ? std::atoi(argv[3]) : 5);
   const std::string policy = argc > 4 ? argv[4] : "ledger";
+  PrintSizes();
   const std::string only = argc > 5 ? argv[5] : "";
   for (const double use : { 0.5, 0.7, 0.9 }) {
     for (const Case& entry : kCases) {
--- a/bench/QuotaModel.hpp
+++ b/bench/QuotaModel.hpp
@@ -79,6 +79,9 @@
     Judge();
     const double hostSeconds =
       static_cast<double>(settings_.hosts_) * core::Seconds(settings_.time_);
+    result_.leaderMicros_ =
+      1e6 * core::Seconds(leaderTime_) /
+      static_cast<double>(std::max<std::uint64_t>(1, messages_));
     result_.messagesPerHost_ = static_cast<double>(messages_) / hostSeconds;
     result_.entriesPerHost_ = static_cast<double>(entries_) / hostSeconds;
     return result_;
@@ -333,8 +336,10 @@
         });
         return;
       }
+      const auto begin = std::chrono::steady_clock::now();
       ledger_->OnReport(aHost.id_, 1, complete, aHost.knownHosts_, uses, now_);
       const auto grants = ledger_->Grant(aHost.id_, now_);
+      leaderTime_ += std::chrono::steady_clock::now() - begin;
       ++messages_;
       entries_ += uses.size() + grants.size();
       Post(now_ + way, [this, &aHost, grants] { OnReply(aHost, grants); });
@@ -430,6 +435,7 @@
   std::uint64_t lastId_ = 0;
   std::uint64_t messages_ = 0;
   std::uint64_t entries_ = 0;
+  core::Duration leaderTime_{ 0 };
   QuotaModelResult result_;
 };
 
--- a/bench/QuotaModelSettings.hpp
+++ b/bench/QuotaModelSettings.hpp
@@ -76,6 +76,8 @@
   double messagesPerHost_ = 0;
   /// Entries in reports and answers, per host and second.
   double entriesPerHost_ = 0;
+  /// Time that the leader takes for a report and its answer.
+  double leaderMicros_ = 0;
 };
 
 /// Tenants by a skew: the first has an eighth of the requests or more, the last
--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -126,6 +126,7 @@
   table_ = {};
   rateGrants_ = {};
   quotas_ = admission::QuotaLedger(settings_.quotaBound_);
+  quotaUsedUp_.clear();
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -216,6 +216,8 @@
   bool routesTakenByAll_ = false;
   coordination::FleetTable table_;
   coordination::RateGrants rateGrants_;
+  /// When a request of the tenant was last refused for its quota.
+  std::map<admission::TenantName, core::MonotonicTime> quotaUsedUp_;
   admission::QuotaLedger quotas_{ admission::QuotaBound{} };
   coordination::ModelPlacement placement_;
   /// Kept over terms.
--- a/control/FleetControllerQuotas.cpp
+++ b/control/FleetControllerQuotas.cpp
@@ -1,4 +1,5 @@
 #include "control/FleetController.hpp"
+#include "core/Durations.hpp"
 #include "core/Log.hpp"
 #include "protocol/QuotaWire.hpp"
 
@@ -6,6 +7,13 @@
 
 namespace crocusslip::control {
 
+namespace {
+
+/// A tenant without a refusal for this time is within its quota again.
+constexpr std::chrono::seconds kQuotaPause{ 10 };
+
+} // namespace
+
 void
 FleetController::TakeQuotas(const std::string& aRoutes)
 {
@@ -20,6 +28,9 @@
     return;
   }
   quotas_.SetLimits(quotas.Value());
+  std::erase_if(quotaUsedUp_, [&](const auto& aEntry) {
+    return !quotas.Value().contains(aEntry.first);
+  });
 }
 
 void
@@ -50,6 +61,18 @@
 {
   for (const auto& [tenant, grant] :
        quotas_.Grant(core::HostId(aRequest.host), aNow)) {
+    if (grant.retryAfter_ > core::Duration(0)) {
+      const auto [last, isNew] = quotaUsedUp_.try_emplace(tenant, aNow);
+      if (isNew || aNow > last->second + kQuotaPause) {
+        core::Log(core::LogLevel::Info,
+                  "quota used up",
+                  { { "tenant", tenant.Value() },
+                    { "retry_after_ms",
+                      std::to_string(core::Milliseconds(grant.retryAfter_)) },
+                    { "asked_by", aRequest.host } });
+      }
+      last->second = aNow;
+    }
     protocol::ToWire(grant, protocol::EntryOf(aReply.tenants, tenant.Value()));
   }
 }
--- a/entry/Gateway.hpp
+++ b/entry/Gateway.hpp
@@ -13,6 +13,7 @@
 #include "entry/FleetLink.hpp"
 #include "entry/GatewaySettings.hpp"
 #include "entry/ServerPool.hpp"
+#include "entry/TenantCounters.hpp"
 #include "transport/HttpLink.hpp"
 
 #include <cstdint>
@@ -167,6 +168,7 @@
   coordination::DispatchQueue queue_;
   /// Calls that wait for a server slot.
   std::map<coordination::DispatchQueue::Id, GatewayCall*> waiting_;
+  TenantCounters tenantCounters_{ metrics_ };
   admission::QuotaGate quotas_;
   /// Calls that wait for credit of their tenants.
   std::map<admission::QuotaGate::Id, GatewayCall*> awaitingQuota_;
--- a/entry/GatewayQuota.cpp
+++ b/entry/GatewayQuota.cpp
@@ -76,7 +76,10 @@
                               gateway_.clock_.Now(),
                               gateway_.random_);
   gateway_.SyncQuotas();
+  const TenantCounters::Entry& counters =
+    gateway_.tenantCounters_.Of(tenant_->name_);
   if (verdict == Verdict::Waiting) {
+    counters.waited_->Add();
     gateway_.awaitingQuota_[id] = this;
     const core::MonotonicTime until =
       gateway_.clock_.Now() +
@@ -95,8 +98,10 @@
     }
   }
   if (verdict != Verdict::Admitted) {
+    counters.refused_->Add();
     co_return false;
   }
+  counters.admitted_->Add();
   quotaState_ = QuotaState::Reserved;
   co_return true;
 }
