Grant quotas at once where nothing was spent before

Cause: the first leader of a new system, and one that is given the first limits, waited up to 2.5 s for hosts before it granted anything, so that requests within the quota were refused. Change: a leader without earlier routes starts with empty accounts; reports count towards the rebuild also while no tenant has a limit.

--- a/admission/QuotaLedger.hpp
+++ b/admission/QuotaLedger.hpp
@@ -24,7 +24,8 @@
   /// Tenants without a limit are left out. A lowered limit scales down what was
   /// spent before, so that requests within it are served at once.
   void SetLimits(const std::map<TenantName, Quota>& aLimits);
-  bool Empty() const { return accounts_.empty(); }
+  /// Nothing was spent before, so that grants can begin at once.
+  void StartEmpty() { rebuilt_ = true; }
 
   /// aComplete: the report holds all that the host knows. aKnownHosts: number
   /// of hosts, as the host has heard of; 0: not known.
--- a/control/FleetController.cpp
+++ b/control/FleetController.cpp
@@ -111,10 +111,13 @@
   const bool first = group && group->WithState([](const auto& aState) {
     return aState.Routes().Version() == 0;
   });
+  quotas_ = admission::QuotaLedger(settings_.quotaBound_);
+  quotaUsedUp_.clear();
   earlierOrders_.reset();
   if (first) {
     // Nobody can have given orders before there were services.
     ordersFrom_ = clock_.Now();
+    quotas_.StartEmpty();
   } else if (!settings_.fencingEnforced_) {
     earlierOrders_ = { clock_.Now() + coordination::kLateOrderTime,
                        clock_.WallNow() - coordination::kLateOrderTime -
@@ -125,8 +128,6 @@
   routesVersion_ = 0;
   table_ = {};
   rateGrants_ = {};
-  quotas_ = admission::QuotaLedger(settings_.quotaBound_);
-  quotaUsedUp_.clear();
   placement_ = {};
   guard_ = coordination::CrashGuard(coordination::CrashGuardSettings{});
   promptGuard_ = coordination::PromptGuard(coordination::PromptGuardSettings{});
--- a/control/FleetControllerQuotas.cpp
+++ b/control/FleetControllerQuotas.cpp
@@ -37,9 +37,6 @@
 FleetController::TakeQuotaUses(const wire::SyncRequest& aRequest,
                                core::MonotonicTime aNow)
 {
-  if (quotas_.Empty()) {
-    return;
-  }
   std::map<admission::TenantName, admission::QuotaUse> uses;
   for (const wire::TenantUse& use : aRequest.tenants) {
     if (use.quota) {
--- a/tests/QuotaLedgerTest.cpp
+++ b/tests/QuotaLedgerTest.cpp
@@ -151,6 +151,22 @@
   BOOST_TEST(next.Grant(kFirst, now_)[kTenant].credit_ <= 99 - 80);
 }
 
+// Limits that are new must not refuse all requests until a rebuild has ended.
+BOOST_FIXTURE_TEST_CASE(new_limits_are_granted_at_once, LedgerFixture)
+{
+  QuotaLedger later{ QuotaBound{ 8000ms, 0.1, 0 } };
+  later.OnReport(kFirst, 1, false, 90, {}, now_);
+  now_ += 10s;
+  later.SetLimits({ { kTenant, Quota{ QuotaUnit::Requests, 10, 10, 0 } } });
+  later.OnReport(kFirst, 1, true, 90, {}, now_);
+  BOOST_TEST(later.Grant(kFirst, now_)[kTenant].credit_ >= 1);
+  QuotaLedger first{ QuotaBound{ 8000ms, 0.1, 0 } };
+  first.StartEmpty();
+  first.SetLimits({ { kTenant, Quota{ QuotaUnit::Requests, 10, 10, 0 } } });
+  first.OnReport(kFirst, 1, true, 90, {}, now_);
+  BOOST_TEST(first.Grant(kFirst, now_)[kTenant].credit_ >= 1);
+}
+
 // A lowered limit must bind one window later, and not refuse all until then.
 BOOST_FIXTURE_TEST_CASE(a_lowered_limit_scales_what_was_spent, LedgerFixture)
 {
