--- a/control/FleetController.hpp
+++ b/control/FleetController.hpp
@@ -261,6 +261,8 @@
   /// Requests that wait, by model.
   admission::FleetLines lines_;
   coordination::RateGrants rateGrants_;
+  /// When a request of the tenant was last refused for its quota.
+  std::map<admission::TenantName, core::MonotonicTime> quotaUsedUp_;
   admission::QuotaLedger quotas_{ admission::QuotaBound{} };
   admission::FairShares fairShares_;
   coordination::ModelPlacement placement_;
--- a/entry/GatewayQuota.cpp
+++ b/entry/GatewayQuota.cpp
@@ -76,7 +76,12 @@
                               gateway_.clock_.Now(),
                               gateway_.random_);
   gateway_.SyncQuotas();
+  using Outcome = TenantCounters::QuotaOutcome;
+  const auto count = [this](Outcome aOutcome) {
+    gateway_.tenantCounters_.OnQuota(tenant_->name_, aOutcome);
+  };
   if (verdict == Verdict::Waiting) {
+    count(Outcome::Waited);
     gateway_.awaitingQuota_[id] = this;
     const core::MonotonicTime until =
       gateway_.clock_.Now() +
@@ -95,8 +100,10 @@
     }
   }
   if (verdict != Verdict::Admitted) {
+    count(Outcome::Refused);
     co_return false;
   }
+  count(Outcome::Admitted);
   quotaState_ = QuotaState::Reserved;
   co_return true;
 }
--- a/entry/TenantCounters.cpp
+++ b/entry/TenantCounters.cpp
@@ -40,7 +40,26 @@
   Find(aTenant).refusals_->Add();
 }
 
-const TenantCounters::Counters&
+void
+TenantCounters::OnQuota(const admission::TenantName& aTenant,
+                        QuotaOutcome aOutcome)
+{
+  constexpr std::array<const char*, 3> kNames{ "admitted",
+                                               "refused",
+                                               "waited" };
+  const auto index = static_cast<std::size_t>(aOutcome);
+  Counters& counters = Find(aTenant);
+  core::Counter*& counter = counters.quota_.at(index);
+  if (counter == nullptr) {
+    counter = &metrics_.AddCounter(
+      "crocusslip_tenant_quota_total",
+      counters.label_ + ",outcome=\"" + kNames.at(index) + "\"",
+      "Requests of tenants with a quota by outcome.");
+  }
+  counter->Add();
+}
+
+TenantCounters::Counters&
 TenantCounters::Find(const admission::TenantName& aTenant)
 {
   const auto found = tenants_.find(aTenant);
@@ -53,12 +72,12 @@
     return Find(kOthers);
   }
   Counters& added = tenants_[aTenant];
-  const std::string label = LabelOf(aTenant);
+  added.label_ = LabelOf(aTenant);
   added.requests_ = &metrics_.AddCounter("crocusslip_tenant_requests_total",
-                                         label,
+                                         added.label_,
                                          "Requests with a key of the tenant.");
   added.refusals_ = &metrics_.AddCounter("crocusslip_tenant_refusals_total",
-                                         label,
+                                         added.label_,
                                          "Of these, refused by the gateway.");
   return added;
 }
