--- a/entry/GatewayCall.hpp
+++ b/entry/GatewayCall.hpp
@@ -46,6 +46,8 @@
   /// which a stream can start and a plain request can run.
   static constexpr std::chrono::milliseconds kStreamReserve{ 400 };
   static constexpr std::chrono::milliseconds kPlainReserve{ 20 };
+  /// Time reserved for returning the answer to the caller.
+  static constexpr std::chrono::milliseconds kAnswerReturnTime{ 10 };
   /// Retry-After when nothing better is known.
   static constexpr std::chrono::milliseconds kDefaultRetryAfter{ 500 };
 
@@ -62,6 +64,8 @@
     RetryUnsent,
   };
 
+  /// How long the caller waits, by its header.
+  std::optional<std::chrono::milliseconds> CallerPatience() const;
   /// Reads the call headers, chooses the service and computes the fingerprint.
   /// Returns false if the service or the model is unknown.
   bool ResolveRequest();
