--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -625,6 +625,8 @@
             stage.close()
             stage.record.say("all processes ended")
 
+    # Told to end, by run.sh's limit for instance: the processes are ended as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = asyncio.run(main())
     except Exception as error:  # a fault of the script is not a finding
