Take an answer with a status outside 100 to 599 for a broken answer

Callers saw answers with the status 000 (001, 099, 600, 999) with the server's signature and body. An answer 000 with X-Not-Executed was even taken for the promise that nothing had run: the caller got 503, and a request that may run once was sent again.

Cause: the parser of the HTTP library takes any three digits for a status, and ServerLink::ReadHead, which reads all answers of the programs of the deploy file, took what the parser gave.

Change: ReadHead reads a head piece by piece and fails at an invalid status as soon as the status line is there. The caller gets 502, the connection is closed, and what may have run isn't sent again, as for other bytes that are no answer. Reports, orders and the list are read by the same code.

--- a/tests/support/EntryProcess.hpp
+++ b/tests/support/EntryProcess.hpp
@@ -1,13 +1,12 @@
 #pragma once
 
+#include "tests/support/ChildProcess.hpp"
 #include "tests/support/GatewayFixture.hpp"
 
-#include <csignal>
+#include <array>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
 #include <string>
-#include <sys/wait.h>
 
 /// crocusslip-platform-entry as a child process between a crowd of callers and
 /// fake servers, for tests of what one process holds.
@@ -41,13 +40,12 @@
       << internal << "," << internal << R"(],"Seeds":["127.0.0.1:)" << internal
       << R"("],"Limits":{"MemoryMb":)" << aLimits.memoryMb_ << R"(,"MaxFds":)"
       << aLimits.maxDescriptors_ << "}}";
-    Spawn({ ENTRY_PROGRAM, "--settings", file, "--log-level", "error" });
+    process_ = std::make_unique<ChildProcess>(std::vector<std::string>{
+      ENTRY_PROGRAM, "--settings", file, "--log-level", "error" });
   }
   ~EntryProcess()
   {
-    ::kill(pid_, SIGKILL);
-    int status = 0;
-    ::waitpid(pid_, &status, 0);
+    process_.reset();
     rpc_->Stop();
     std::filesystem::remove_all(folder_);
   }
@@ -97,6 +95,35 @@
     }
     return status;
   }
+  /// All bytes of the answer to one request.
+  std::string BytesOfAnswer(const std::string& aTarget)
+  {
+    bool done = false;
+    std::string bytes;
+    transport::Spawn(loop_, [&]() -> Task<void> {
+      boost::system::error_code error;
+      transport::Tcp::socket socket(loop_);
+      co_await socket.async_connect(*transport::ParseEndpoint(front_),
+                                    transport::Catch(error));
+      const std::string request =
+        "POST " + aTarget +
+        " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: abc\r\n"
+        "Connection: close\r\nContent-Length: 4\r\n\r\nbody";
+      co_await socket.async_write_some(transport::asio::buffer(request),
+                                       transport::Catch(error));
+      std::array<char, 1024> part{};
+      while (!error) {
+        const std::size_t got = co_await socket.async_read_some(
+          transport::asio::buffer(part), transport::Catch(error));
+        bytes.append(part.data(), got);
+      }
+      done = true;
+    });
+    while (!done) {
+      loop_.run_for(10ms);
+    }
+    return bytes;
+  }
   /// Whether a request is served after at most ten seconds; refusals are
   /// allowed before.
   bool Serves(const std::string& aTarget, std::size_t aBodyBytes = 8)
@@ -111,17 +138,17 @@
     return false;
   }
 
-  bool Lives() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-  void Terminate() const { ::kill(pid_, SIGTERM); }
+  bool Lives() const { return process_->Lives(); }
+  void Terminate() const { process_->Terminate(); }
   std::uint64_t Memory(const std::string& aName) const
   {
-    return ProcessMemory(std::to_string(pid_), aName);
+    return ProcessMemory(std::to_string(process_->Id()), aName);
   }
   std::size_t Descriptors() const
   {
     std::error_code ignored;
     const std::filesystem::directory_iterator all(
-      "/proc/" + std::to_string(pid_) + "/fd", ignored);
+      "/proc/" + std::to_string(process_->Id()) + "/fd", ignored);
     return static_cast<std::size_t>(std::distance(begin(all), end(all)));
   }
   /// The process's own metrics; 0 when there is none with this name.
@@ -156,26 +183,16 @@
     return R"({"Version":1,"Services":[{"Name":"desk"}],"Limits":{"MaxBodyBytes":)" +
            std::to_string(aLimits.bodyBytes_) + R"(},"Routes":[{)" + common +
            R"("a","PathPrefix":"/once/","RouteKind":"unsafe"},{)" + common +
-           R"("b","PathPrefix":"/stream/","RouteKind":"streaming"}]})";
+           R"("b","PathPrefix":"/stream/","RouteKind":"streaming"},{)" +
+           common +
+           R"("c","PathPrefix":"/safe/","RouteKind":"safe","MaxAttempts":2}]})";
   }
-  void Spawn(std::vector<std::string> aArguments)
-  {
-    std::vector<char*> arguments;
-    for (std::string& argument : aArguments) {
-      arguments.push_back(argument.data());
-    }
-    arguments.push_back(nullptr);
-    const int failed = ::posix_spawn(
-      &pid_, arguments.front(), nullptr, nullptr, arguments.data(), environ);
-    BOOST_REQUIRE_EQUAL(failed, 0);
-  }
-
   const std::string ready_ = "127.0.0.1:" + std::to_string(FreePort());
   const std::string folder_ = NewFolder();
   std::shared_ptr<FakeFleet> fleet_ = std::make_shared<FakeFleet>();
   std::unique_ptr<transport::RpcServer> rpc_;
   std::unique_ptr<transport::LinkListener> server_;
-  pid_t pid_ = 0;
+  std::unique_ptr<ChildProcess> process_;
 };
 
 } // namespace crocusslip::tests
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kSkippedBytes = 64UL * 1024;
 /// Largest head of an answer.
 constexpr std::uint32_t kAnswerHeadBytes = 16 * 1024;
+/// Status codes outside this range are invalid (RFC 9110, section 15).
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kHighestStatus = 599;
 /// Interim answers before the answer proper.
 constexpr int kMaxInterimAnswers = 8;
 /// Bytes of a message that are read ahead; bounds what the parser needs in one
@@ -62,6 +65,13 @@
   return got < 0 ? 0 : static_cast<int>(got);
 }
 
+bool
+HasValidStatus(const http::response_header<>& aHead)
+{
+  return aHead.result_int() >= kLowestStatus &&
+         aHead.result_int() <= kHighestStatus;
+}
+
 } // namespace
 
 std::optional<Tcp::endpoint>
@@ -320,19 +330,38 @@
   co_return !timer.Expired();
 }
 
+Task<bool>
+ServerLink::ReadOneHead()
+{
+  parser_.emplace();
+  parser_->header_limit(kAnswerHeadBytes);
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  while (true) {
+    boost::system::error_code error;
+    buffer_.consume(parser_->put(buffer_.cdata(), error));
+    if (!HasValidStatus(parser_->get().base())) {
+      co_return false;
+    }
+    if (error != http::error::need_more) {
+      co_return Note(error);
+    }
+    const std::size_t got = co_await stream_.async_read_some(
+      buffer_.prepare(kReadBytes), Catch(error));
+    buffer_.commit(got);
+    if (!Note(error)) {
+      co_return false;
+    }
+  }
+}
+
 Task<bool>
 ServerLink::ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout)
 {
-  boost::system::error_code error;
   stream_.expires_after(
     std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout));
   bool interim = true;
   for (int i = 0; interim && i <= kMaxInterimAnswers; ++i) {
-    parser_.emplace();
-    parser_->header_limit(kAnswerHeadBytes);
-    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_await http::async_read_header(stream_, buffer_, *parser_, Catch(error));
-    if (!Note(error)) {
+    if (!co_await ReadOneHead()) {
       parser_.reset();
       co_return false;
     }
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -118,7 +118,9 @@
   /// Waits until something arrives or the connection ends. False when nothing
   /// did in this time; the connection is as before then.
   Task<bool> AwaitData(std::chrono::nanoseconds aTimeout);
-  /// Reads the head of the next answer; skips interim answers (1xx).
+  /// Reads the head of the next answer; skips interim answers (1xx). False
+  /// also for a head that breaks the grammar of HTTP/1.1: nothing that follows
+  /// it on the connection can be trusted.
   Task<bool> ReadHead(AnswerHead& aHead, std::chrono::nanoseconds aTimeout);
   /// The next bytes of the body; empty at its end. Nothing on failure.
   Task<std::optional<std::string_view>> ReadBody(
@@ -149,6 +151,8 @@
   Task<bool> SendMessage(const http::request<Body>& aRequest,
                          std::chrono::nanoseconds aTimeout);
   bool Note(const boost::system::error_code& aError);
+  /// Reads one head into a new parser. False when it breaks the grammar.
+  Task<bool> ReadOneHead();
 
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
