Take an answer with a folded line in its head for a broken answer

Callers saw answers of servers in whose head a line began with a blank or a tab: " X-Broken: 1" was passed on as the end of the field before it, even of the server's signature, and behind " Transfer-Encoding: chunked" the body that was passed on held the sizes of the chunks. The control process took such lists, reports and answers to orders.

Cause: the parser joins a line that begins with a blank to the field before it (obs-fold, RFC 9112, section 5.2), also when it is a field whose name begins with a blank, so that the field is lost.

Change: ReadOneHead looks for such lines in what the parser has consumed and fails, as the RFC allows a gateway to (502). A folded line in a trailer is still dropped with the trailer, which is never passed on.

Evidence: BrokenAnswerTest and BrokenControlAnswerTest with these lines.

--- a/tests/BrokenAnswerTest.cpp
+++ b/tests/BrokenAnswerTest.cpp
@@ -119,7 +119,11 @@
 {
   RawServer server;
   server.staysOpen_ = true;
-  for (const BrokenHead& broken : BrokenHeads()) {
+  for (BrokenHead broken : BrokenHeads()) {
+    if (IsFolded(broken)) {
+      // Known only with the line behind it.
+      broken.line_ += "\r\nX-B: 1";
+    }
     const auto begin = std::chrono::steady_clock::now();
     const std::string answer = server.AnswerTo(Head(broken, kSound), "/once/");
     const auto took = std::chrono::steady_clock::now() - begin;
@@ -180,7 +184,10 @@
       const std::string answer =
         server.AnswerTo(begin + broken.line_ + "\r\n\r\n", route);
       BOOST_TEST(answer.find("X-Bro") == std::string::npos, broken.name_);
-      if (answer.find(kEvent) == std::string::npos) {
+      if (IsFolded(broken)) {
+        // The rest of the field before it; trailers are not passed on.
+        BOOST_TEST(answer.find(kEvent) != std::string::npos, broken.name_);
+      } else if (answer.find(kEvent) == std::string::npos) {
         BOOST_TEST(IsBadGateway(answer), broken.name_ << " gave " << answer);
       } else {
         // A stream whose events were passed on is broken off.
--- a/tests/support/BrokenHeads.hpp
+++ b/tests/support/BrokenHeads.hpp
@@ -43,6 +43,8 @@
     { "tab in a name", "200", "X-Broken\tLine: 1" },
     { "blank after a name", "200", "X-Broken : 1" },
     { "tab after a name", "200", "X-Broken\t: 1" },
+    { "blank before a name", "200", " X-Broken: 1" },
+    { "tab before a name", "200", "\tX-Broken: 1" },
     { "NUL in a name", "200", "X-Bro\0ken: 1"s },
     { "SOH in a name", "200", "X-Bro\x01ken: 1" },
     { "vertical tab in a name", "200", "X-Bro\x0bken: 1" },
@@ -59,6 +61,8 @@
     const std::string value = framing.substr(colon);
     heads.push_back(
       { "blank after a name of the framing", "200", name + " " + value });
+    heads.push_back(
+      { "blank before a name of the framing", "200", " " + framing });
     heads.push_back(
       { "SOH after a name of the framing", "200", name + "\x01" + value });
   }
@@ -74,6 +78,12 @@
   return heads;
 }
 
+inline bool
+IsFolded(const BrokenHead& aHead)
+{
+  return aHead.line_.starts_with(' ') || aHead.line_.starts_with('\t');
+}
+
 /// One of each kind, for readers that ask rarely.
 inline std::vector<BrokenHead>
 FewBrokenHeads()
@@ -81,6 +91,7 @@
   return { { "status 000", "000", {} },
            { "status 999", "999", {} },
            { "blank in a name", "200", "X-Broken Line: 1" },
+           { "blank before a name", "200", " X-Broken: 1" },
            { "SOH in a name", "200", "X-Bro\x01ken: 1" } };
 }
 
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -65,6 +65,15 @@
   return got < 0 ? 0 : static_cast<int>(got);
 }
 
+// The parser joins a folded line (RFC 9112, section 5.2) to the field before
+// it, also when it is a field whose name begins with a blank.
+bool
+HasFoldedLine(std::string_view aHead)
+{
+  return aHead.find("\r\n ") != std::string_view::npos ||
+         aHead.find("\r\n\t") != std::string_view::npos;
+}
+
 bool
 HasValidStatus(const http::response_header<>& aHead)
 {
@@ -338,8 +347,13 @@
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   while (true) {
     boost::system::error_code error;
-    buffer_.consume(parser_->put(buffer_.cdata(), error));
-    if (!HasValidStatus(parser_->get().base())) {
+    const auto bytes = buffer_.cdata();
+    const std::size_t used = parser_->put(bytes, error);
+    const bool folded =
+      HasFoldedLine({ static_cast<const char*>(bytes.data()), used });
+    buffer_.consume(used);
+    const auto& head = parser_->get().base();
+    if (folded || !HasValidStatus(head)) {
       co_return false;
     }
     if (error != http::error::need_more) {
