Take an answer in an unknown transfer coding for a broken answer

Callers saw bodies that were not the server's: behind "Transfer-Encoding: gzip", "chunked, gzip" or "x chunked" the body was passed on with the sizes of its chunks, behind "gzip, chunked" still compressed, each without the field that tells so and as a whole success.

Cause: the parser reads a body whose last coding isn't chunked until the connection ends, decodes no other coding, and Transfer-Encoding is not passed on, since it concerns one connection.

Change: ReadOneHead takes a Transfer-Encoding other than "chunked" alone, and any in HTTP/1.0 (RFC 9112, section 6.1), for a broken head. No server has been offered another coding (TE).

--- a/tests/BrokenAnswerTest.cpp
+++ b/tests/BrokenAnswerTest.cpp
@@ -168,6 +168,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(IsNotReadOnBehindATransferCodingThatIsNotKnown)
+{
+  RawServer server;
+  for (const std::string begin : {
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: x chunked\r\n",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: \r\n",
+         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+       }) {
+    for (const std::string& route : kRoutes) {
+      const std::string answer = server.AnswerTo(
+        begin + kSound + "\r\n" + Chunk(kEvent) + kLastChunk, route);
+      BOOST_TEST(IsBadGateway(answer), begin << " gave " << answer);
+      BOOST_TEST(server.IsServed(), begin);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(AServerThatSendsABrokenTrailer)
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -81,6 +82,15 @@
          aHead.result_int() <= kHighestStatus;
 }
 
+// A body in any other transfer coding would be passed on undecoded.
+bool
+HasKnownCoding(const http::response_header<>& aHead)
+{
+  const auto coding = aHead.find(http::field::transfer_encoding);
+  return coding == aHead.end() ||
+         (aHead.version() == 11 && beast::iequals(coding->value(), "chunked"));
+}
+
 } // namespace
 
 std::optional<Tcp::endpoint>
@@ -357,7 +367,7 @@
       co_return false;
     }
     if (error != http::error::need_more) {
-      co_return Note(error);
+      co_return Note(error) && HasKnownCoding(head);
     }
     const std::size_t got = co_await stream_.async_read_some(
       buffer_.prepare(kReadBytes), Catch(error));
