Let a log without a segment be synced while its disk is full

Operators of a similar system saw changes refused long after the last of several full disks had room again. What was found here on the way: a control process could end with signal 11 while its disk was full.

If entries from before had been written in the same round, Group::SyncPending synced the log meanwhile, and LogStore::SyncFile used the file that wasn't there.

--- a/state/LogStore.cpp
+++ b/state/LogStore.cpp
@@ -390,6 +390,10 @@
 core::Status
 LogStore::SyncFile()
 {
+  // Reset has removed the log and found no room for a new segment.
+  if (!file_) {
+    return core::Success();
+  }
   const std::uint64_t size = file_->Size();
   if (auto done = file_->Sync(); !done) {
     return done;
--- a/tests/LogStoreTest.cpp
+++ b/tests/LogStoreTest.cpp
@@ -229,6 +229,24 @@
   BOOST_TEST((Open()->TakeEntries() == Entries(1, 9)));
 }
 
+// Guards against a process that ends while it waits for room after a snapshot
+// has replaced its log: entries before it may still have to be synced.
+BOOST_AUTO_TEST_CASE(begins_anew_after_a_snapshot_once_there_is_room)
+{
+  auto store = Open();
+  BOOST_REQUIRE(store->Write({}, Entries(1, 3)).Ok());
+  files_.SetCanCreate(false);
+  BOOST_TEST((store->Reset(LogIndex(7)).Failure().code_ == Errc::DiskFull));
+  BOOST_TEST(store->Sync().Ok());
+  files_.SetCanCreate(true);
+  BOOST_REQUIRE(store->Reset(LogIndex(7)).Ok());
+  BOOST_REQUIRE(store->Write({}, Entries(8, 9)).Ok());
+  BOOST_REQUIRE(store->Sync().Ok());
+  store.reset();
+  BOOST_TEST(
+    (Open({ LogIndex(7), Term(1), {} })->TakeEntries() == Entries(8, 9)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(beside_a_snapshot)
--- a/tests/support/FaultyFileSystem.cpp
+++ b/tests/support/FaultyFileSystem.cpp
@@ -74,6 +74,9 @@
 FaultyFileSystem::OpenAppend(const std::string& aPath)
 {
   if (!names_.contains(aPath)) {
+    if (!canCreate_) {
+      return core::Error{ core::Errc::DiskFull, "fake disk" };
+    }
     Change({ { aPath, std::make_shared<Content>() } });
   }
   return std::unique_ptr<state::AppendFile>(
--- a/tests/support/FaultyFileSystem.hpp
+++ b/tests/support/FaultyFileSystem.hpp
@@ -37,6 +37,8 @@
   void FailSyncs(bool aFail) { failSyncs_ = aFail; }
   /// Bytes that can still be written before the disk is full.
   void SetFree(std::uint64_t aBytes) { free_ = aBytes; }
+  /// Whether the disk has room for another file.
+  void SetCanCreate(bool aCan) { canCreate_ = aCan; }
   void FlipBit(const std::string& aPath, std::uint64_t aOffset);
 
 private:
@@ -67,6 +69,7 @@
   Names syncedNames_;
   std::vector<NameChanges> unsyncedChanges_;
   bool failSyncs_ = false;
+  bool canCreate_ = true;
   std::uint64_t free_ = core::kGibi;
 };
 
