--- a/state/SnapshotStore.cpp
+++ b/state/SnapshotStore.cpp
@@ -182,7 +182,33 @@
 {
   const std::string part =
     Path(aMeta.index_) + ".own" + std::string(kUnfinishedSuffix);
-  auto file = files_.OpenAppend(part);
+  core::Status written = WritePart(part, aMeta, aContent);
+  if (!written) {
+    return RemovePart(part, std::move(written));
+  }
+  if (auto done = files_.Rename(part, Path(aMeta.index_)); !done) {
+    return done;
+  }
+  return files_.SyncFolder(folder_);
+}
+
+core::Status
+SnapshotStore::RemovePart(const std::string& aPart, core::Status aFailure)
+{
+  if (auto removed = files_.Remove(aPart); !removed) {
+    core::Error error = aFailure.Failure();
+    error.detail_ += "; " + removed.Failure().Message();
+    return error;
+  }
+  return aFailure;
+}
+
+core::Status
+SnapshotStore::WritePart(const std::string& aPart,
+                         const SnapshotMeta& aMeta,
+                         std::string_view aContent)
+{
+  auto file = files_.OpenAppend(aPart);
   if (!file) {
     return file.Failure();
   }
@@ -206,13 +232,7 @@
   if (auto done = file.Value()->Append(end); !done) {
     return done;
   }
-  if (auto done = file.Value()->Sync(); !done) {
-    return done;
-  }
-  if (auto done = files_.Rename(part, Path(aMeta.index_)); !done) {
-    return done;
-  }
-  return files_.SyncFolder(folder_);
+  return file.Value()->Sync();
 }
 
 core::Result<std::optional<core::LogIndex>>
@@ -310,7 +330,8 @@
     return core::Error{ core::Errc::Conflict, "snapshot part out of order" };
   }
   if (auto done = incoming_->Append(aPiece.bytes_); !done) {
-    return done.Failure();
+    incoming_.reset();
+    return RemovePart(part, std::move(done)).Failure();
   }
   if (incoming_->Size() < aPiece.total_) {
     return std::optional<SnapshotMeta>();
--- a/state/SnapshotStore.hpp
+++ b/state/SnapshotStore.hpp
@@ -60,6 +60,11 @@
 
 private:
   std::string Path(core::LogIndex aIndex) const;
+  core::Status WritePart(const std::string& aPart,
+                         const SnapshotMeta& aMeta,
+                         std::string_view aContent);
+  /// Frees what the part takes; returns the failure that left it unfinished.
+  core::Status RemovePart(const std::string& aPart, core::Status aFailure);
   core::Result<Snapshot> LoadFile(const std::string& aPath) const;
   core::Status Publish(core::LogIndex aIndex);
 
--- a/tests/LogStoreTest.cpp
+++ b/tests/LogStoreTest.cpp
@@ -389,4 +389,28 @@
   BOOST_TEST(other.LoadNewest().Value()->content_ == content_);
 }
 
+// Guards against parts of snapshots that fill the disk for good: the space that
+// they take is missed by the log, and nobody removes them before a restart.
+BOOST_FIXTURE_TEST_CASE(leaves_no_part_behind_on_a_full_disk, Snapshots)
+{
+  files_.SetFree(core::kMebi);
+  BOOST_TEST((store_.Save(meta_, content_).Failure().code_ == Errc::DiskFull));
+  BOOST_TEST(files_.FreeSpace("data").Value().Count() == core::kMebi);
+
+  files_.SetFree(core::kGibi);
+  BOOST_REQUIRE(store_.Save(meta_, content_).Ok());
+  FaultyFileSystem otherFiles;
+  state::SnapshotStore other(otherFiles, "data/snapshot");
+  constexpr std::uint64_t kPiece = 400 * core::kKibi;
+  const auto piece = [this](std::uint64_t aOffset) {
+    return store_.ReadPiece(meta_.index_, aOffset, kPiece).Value();
+  };
+  otherFiles.SetFree(core::kMebi);
+  BOOST_REQUIRE(other.AddPiece(piece(0)).Ok());
+  BOOST_REQUIRE(other.AddPiece(piece(kPiece)).Ok());
+  BOOST_TEST(
+    (other.AddPiece(piece(2 * kPiece)).Failure().code_ == Errc::DiskFull));
+  BOOST_TEST(otherFiles.FreeSpace("data").Value().Count() == core::kMebi);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
