Read answers of servers in the older programs as strictly as elsewhere

Callers of crocusslip-entry, and crocusslip-control itself, took answers with the status 000 (or "2x0", "20", "2000"), with names of fields that held a blank or a control byte, with lines that are no field, and the same lines in trailers. Behind "Content-Length : 3" a body was cut, behind " Transfer- Encoding: chunked" it was read in chunks that nobody had announced.

Cause: HttpClient read answers through cpprestsdk, which splits each line at its first colon, trims both sides and takes what it finds; after it nothing tells what the server had sent.

Change: HttpClient keeps its interface and reads and writes through Boost.Beast (ClientConnection: plain and TLS), with the checks of the other programs, which move from HttpLink to AnswerParser. Pooled connections, one retry on a pooled connection that turns out to be closed, none on connections of their own, and what counts as not sent are as before. Redirects are answers now; the library followed them. Calls that are under way when their client ends are dropped. cpprestsdk is left for the listeners.

--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -1,13 +1,13 @@
 #include "transport/HttpClient.hpp"
 
-#include <boost/asio/ssl.hpp>
-#include <cpprest/http_client.h>
-#include <cpprest/producerconsumerstream.h>
+#include "transport/ClientConnection.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -15,36 +15,79 @@
 
 namespace {
 
-namespace client = web::http::client;
-using web::http::http_request;
-using web::http::http_response;
+using Connection = std::shared_ptr<ClientConnection>;
 
-/// An announced answer up to this size is passed on once it is whole, which
-/// takes fewer turns of the thread pool than reading it piece by piece.
-constexpr std::size_t kWholeAnswerBytes = 64 * 1024;
+constexpr unsigned kMinThreads = 4;
+/// Idle connections that are kept to one server, and for how long.
+constexpr std::size_t kMaxIdle = 64;
+constexpr std::chrono::seconds kIdleTime{ 30 };
 
-http_request
-ToLibrary(const protocol::HttpRequest& aRequest)
+bool
+IsVisible(std::string_view aText)
 {
-  http_request request(aRequest.method_);
-  std::string target = aRequest.path_;
+  return std::ranges::none_of(
+    aText, [](unsigned char aByte) { return aByte <= ' ' || aByte == 0x7f; });
+}
+
+/// Whether a value can't end its line.
+bool
+IsFieldValue(std::string_view aText)
+{
+  return aText.find_first_of(std::string_view("\r\n\0", 3)) ==
+         std::string_view::npos;
+}
+
+/// The message to send; nothing when it would not be one request.
+std::optional<ClientConnection::Request>
+ToMessage(const ClientTarget& aTarget, const protocol::HttpRequest& aRequest)
+{
+  std::string target = aTarget.path_ + aRequest.path_;
+  if (!target.starts_with('/')) {
+    target.insert(0, "/");
+  }
   if (!aRequest.query_.empty()) {
     target += "?" + aRequest.query_;
   }
-  request.set_request_uri(web::uri(target));
-  std::string type = "application/octet-stream";
+  if (!IsVisible(target) || !IsVisible(aRequest.method_) ||
+      aRequest.method_.empty()) {
+    return std::nullopt;
+  }
+  ClientConnection::Request message;
+  message.version(11);
+  message.method_string(aRequest.method_);
+  message.target(target);
+  message.set(http::field::host, aTarget.host_ + ":" + aTarget.port_);
   for (const protocol::HttpHeader& header : aRequest.headers_.All()) {
-    if (protocol::EqualsIgnoringCase(header.name_, "Content-Type")) {
-      type = header.value_;
+    if (!IsVisible(header.name_) || !IsFieldValue(header.value_)) {
+      return std::nullopt;
     }
-    request.headers().add(header.name_, header.value_);
+    message.set(header.name_, header.value_);
   }
-  if (!aRequest.body_.empty()) {
-    request.set_body(
-      std::vector<unsigned char>(aRequest.body_.begin(), aRequest.body_.end()));
-    request.headers().set_content_type(type);
+  message.erase(http::field::transfer_encoding);
+  message.erase(http::field::content_length);
+  if (!aRequest.body_.empty() &&
+      message.find(http::field::content_type) == message.end()) {
+    message.set(http::field::content_type, "application/octet-stream");
+  }
+  message.body() = aRequest.body_;
+  message.prepare_payload();
+  return message;
+}
+
+protocol::HttpResponse
+ToResponse(const http::response_header<>& aHead)
+{
+  protocol::HttpResponse response;
+  response.status_ = static_cast<std::uint16_t>(aHead.result_int());
+  for (const auto& field : aHead) {
+    const std::string name(field.name_string());
+    std::string value(field.value());
+    if (const auto before = response.headers_.Find(name)) {
+      value = *before + ", " + value;
+    }
+    response.headers_.Set(name, value);
   }
-  return request;
+  return response;
 }
 
 // Only errors of opening the connection prove that no byte was sent; all
@@ -59,154 +102,247 @@
 }
 
 CallFailure
-ToFailure(const std::exception& aError)
+ToFailure(const boost::system::error_code& aError)
 {
-  const auto* http = dynamic_cast<const web::http::http_exception*>(&aError);
   CallFailure failure;
-  const std::error_code code =
-    http != nullptr ? http->error_code() : std::error_code();
-  failure.delivery_ = DeliveryOf(code);
+  failure.delivery_ = DeliveryOf(aError);
   failure.error_.code_ = make_error_code(
     failure.delivery_ == Delivery::NotSent ? core::Errc::ConnectFailed
-    : code == std::errc::timed_out         ? core::Errc::Timeout
+    : aError == beast::error::timeout      ? core::Errc::Timeout
                                            : core::Errc::ConnectionLost);
-  failure.error_.detail_ = aError.what();
+  failure.error_.detail_ = aError.message();
   return failure;
 }
 
-class Call final
-  : public HttpCall
-  , public std::enable_shared_from_this<Call>
+/// Connections that wait for their next request, by server.
+class IdleConnections
+{
+public:
+  /// One on which nothing has arrived since its last answer; may be null.
+  Connection Take(const std::string& aServer)
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<Idle>& idle = idle_[aServer];
+    while (!idle.empty()) {
+      const Idle last = std::move(idle.back());
+      idle.pop_back();
+      if (std::chrono::steady_clock::now() - last.since_ < kIdleTime &&
+          last.connection_->Quiet()) {
+        return last.connection_;
+      }
+    }
+    return nullptr;
+  }
+
+  void Put(const std::string& aServer, Connection aConnection)
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<Idle>& idle = idle_[aServer];
+    if (idle.size() >= kMaxIdle) {
+      idle.erase(idle.begin());
+    }
+    idle.push_back(
+      { std::move(aConnection), std::chrono::steady_clock::now() });
+  }
+
+private:
+  struct Idle
+  {
+    Connection connection_;
+    std::chrono::steady_clock::time_point since_;
+  };
+
+  /// Held only around the map.
+  std::mutex mutex_;
+  std::map<std::string, std::vector<Idle>> idle_;
+};
+
+/// Runs on the executor of its connection.
+class Call : public std::enable_shared_from_this<Call>
 {
 public:
-  explicit Call(std::shared_ptr<HttpSink> aSink)
-    : sink_(std::move(aSink))
+  Call(HttpTarget aTarget,
+       ClientTarget aServer,
+       ClientConnection::Request aRequest,
+       std::shared_ptr<HttpSink> aSink,
+       std::size_t aLimit,
+       IdleConnections& aIdle,
+       const TlsFiles& aTls,
+       ClientConnection::Executor aExecutor)
+    : target_(std::move(aTarget))
+    , server_(std::move(aServer))
+    , request_(std::move(aRequest))
+    , sink_(std::move(aSink))
+    , limit_(aLimit)
+    , idle_(aIdle)
+    , tls_(aTls)
+    , connection_(target_.freshConnection_ ? nullptr
+                                           : idle_.Take(target_.base_))
+    , executor_(connection_ ? connection_->GetExecutor() : std::move(aExecutor))
   {
   }
 
-  void Cancel() override { cancellation_.cancel(); }
+  void Start()
+  {
+    asio::co_spawn(
+      executor_,
+      [self = shared_from_this()] { return self->Run(); },
+      [](const std::exception_ptr& aError) { LogUnexpected(aError); });
+  }
 
-  // The client lives as long as its call: destroying it earlier would close
-  // the connection of a call that has one of its own.
-  void Run(std::shared_ptr<client::http_client> aClient,
-           const http_request& aRequest)
+  void Cancel()
   {
-    client_ = std::move(aClient);
-    auto self = shared_from_this();
-    client_->request(aRequest, cancellation_.get_token())
-      .then([self](const pplx::task<http_response>& aTask) {
-        try {
-          self->Begin(aTask.get());
-        } catch (const std::exception& error) {
-          self->Fail(ToFailure(error));
-        }
-      });
+    asio::post(executor_, [self = shared_from_this()] {
+      self->cancelled_ = true;
+      if (self->connection_) {
+        self->connection_->Close();
+      }
+    });
   }
 
 private:
-  void Begin(http_response aResponse)
+  Task<void> Run()
   {
-    protocol::HttpResponse head;
-    head.status_ = aResponse.status_code();
-    for (const auto& header : aResponse.headers()) {
-      head.headers_.Set(header.first, header.second);
+    if (!co_await Ask()) {
+      Fail(FailureOfAsking());
+      co_return;
     }
-    const bool wholeSoon =
-      aResponse.headers().has(web::http::header_names::content_length) &&
-      aResponse.headers().content_length() <= kWholeAnswerBytes;
-    response_ = std::move(aResponse);
-    sink_->OnHead(head);
-    if (wholeSoon) {
-      AwaitEnd();
-      return;
+    sink_->OnHead(ToResponse(connection_->Head()));
+    std::size_t length = 0;
+    while (true) {
+      const auto part = co_await connection_->ReadBody();
+      if (!part) {
+        CallFailure failure = ToFailure(connection_->Failure());
+        failure.delivery_ = Delivery::MaybeSent;
+        Fail(failure);
+        co_return;
+      }
+      if (part->empty()) {
+        break;
+      }
+      length += part->size();
+      if (length > limit_) {
+        Fail({ { make_error_code(core::Errc::TooLarge),
+                 "the answer is too large" },
+               Delivery::MaybeSent });
+        co_return;
+      }
+      sink_->OnData(*part);
     }
-    Read();
+    if (!target_.freshConnection_ && !cancelled_ && connection_->Reusable()) {
+      idle_.Put(target_.base_, std::move(connection_));
+    }
+    sink_->OnEnd();
   }
 
-  // Takes all bytes that are there, then waits for the next one: each piece
-  // goes on as it comes, without waiting for a full buffer.
-  void Read()
+  /// Sends the request and reads the head of its answer.
+  Task<bool> Ask()
   {
-    DeliverArrived();
-    auto self = shared_from_this();
-    response_.body().streambuf().getc().then([self](
-                                               const pplx::task<int>& aTask) {
-      try {
-        if (aTask.get() == concurrency::streams::char_traits<uint8_t>::eof()) {
-          self->AwaitEnd();
-        } else {
-          self->Read();
-        }
-      } catch (const std::exception& error) {
-        self->Fail(ToFailure(error));
+    if (connection_) {
+      connection_->SetTimeout(target_.timeout_);
+      if (co_await Exchange()) {
+        co_return true;
       }
-    });
+      // The server has closed a connection that was idle.
+      const bool again = !connection_->HasAnswer() && !cancelled_ &&
+                         connection_->Failure() != beast::error::timeout;
+      if (!again) {
+        co_return false;
+      }
+    }
+    if (cancelled_ || !Open()) {
+      co_return false;
+    }
+    const bool connected = co_await connection_->Connect(server_);
+    if (!connected || cancelled_) {
+      co_return false;
+    }
+    co_return co_await Exchange();
+  }
+
+  /// Fails when the files of TLS can't be read.
+  bool Open()
+  {
+    connection_.reset();
+    try {
+      connection_ =
+        std::make_shared<ClientConnection>(executor_, tls_, server_.tls_);
+    } catch (const std::exception& error) {
+      openFailure_ = error.what();
+      return false;
+    }
+    connection_->SetTimeout(target_.timeout_);
+    return true;
   }
 
-  // Reads in place: the buffer's other calls run as tasks, and each costs
-  // several turns of the thread pool.
-  void DeliverArrived()
+  CallFailure FailureOfAsking() const
   {
-    auto body = response_.body().streambuf();
-    uint8_t* place = nullptr;
-    std::size_t count = 0;
-    while (body.acquire(place, count) && count > 0) {
-      sink_->OnData({ reinterpret_cast<const char*>(place), count });
-      body.release(place, count);
+    if (!connection_) {
+      return { { make_error_code(core::Errc::ConnectFailed), openFailure_ },
+               Delivery::NotSent };
     }
+    if (cancelled_) {
+      return { { make_error_code(core::Errc::ConnectionLost), "cancelled" },
+               Delivery::MaybeSent };
+    }
+    return ToFailure(connection_->Failure());
   }
 
-  // The stream also ends when the connection breaks; content_ready tells a
-  // whole body from a cut one.
-  void AwaitEnd()
+  Task<bool> Exchange()
   {
-    auto self = shared_from_this();
-    response_.content_ready().then(
-      [self](const pplx::task<http_response>& aTask) {
-        try {
-          aTask.get();
-          self->DeliverArrived();
-        } catch (const std::exception& error) {
-          CallFailure failure = ToFailure(error);
-          failure.delivery_ = Delivery::MaybeSent;
-          self->Fail(failure);
-          return;
-        }
-        if (!self->done_.exchange(true)) {
-          self->sink_->OnEnd();
-          self->Release();
-        }
-      });
+    const bool toHead = request_.method() == http::verb::head;
+    const bool sent = co_await connection_->Send(request_);
+    co_return sent&& co_await connection_->ReadHead(toHead);
   }
 
   void Fail(const CallFailure& aFailure)
   {
-    if (!done_.exchange(true)) {
-      sink_->OnFailure(aFailure);
-      Release();
+    if (connection_) {
+      connection_->Close();
     }
+    sink_->OnFailure(aFailure);
+  }
+
+  const HttpTarget target_;
+  const ClientTarget server_;
+  const ClientConnection::Request request_;
+  const std::shared_ptr<HttpSink> sink_;
+  /// Longest body.
+  const std::size_t limit_;
+  IdleConnections& idle_;
+  const TlsFiles& tls_;
+  Connection connection_;
+  const ClientConnection::Executor executor_;
+  std::string openFailure_;
+  bool cancelled_ = false;
+};
+
+/// A call that may have ended, also with its client.
+class CallHandle final : public HttpCall
+{
+public:
+  explicit CallHandle(std::weak_ptr<Call> aCall)
+    : call_(std::move(aCall))
+  {
   }
 
-  void Release()
+  void Cancel() override
   {
-    sink_.reset();
-    client_.reset();
+    if (const auto call = call_.lock()) {
+      call->Cancel();
+    }
   }
 
-  std::shared_ptr<HttpSink> sink_;
-  std::shared_ptr<client::http_client> client_;
-  http_response response_;
-  pplx::cancellation_token_source cancellation_;
-  std::atomic<bool> done_{ false };
+private:
+  const std::weak_ptr<Call> call_;
 };
 
 /// Collects an answer in memory.
 class Collector final : public HttpSink
 {
 public:
-  Collector(std::size_t aLimit, HttpClient::WholeCallback aDone)
-    : limit_(aLimit)
-    , done_(std::move(aDone))
+  explicit Collector(HttpClient::WholeCallback aDone)
+    : done_(std::move(aDone))
   {
   }
 
@@ -217,23 +353,10 @@
 
   void OnData(std::string_view aBytes) override
   {
-    if (response_.body_.size() + aBytes.size() > limit_) {
-      tooLarge_ = true;
-      return;
-    }
     response_.body_.append(aBytes);
   }
 
-  void OnEnd() override
-  {
-    if (tooLarge_) {
-      done_(core::Error{ make_error_code(core::Errc::TooLarge),
-                         "the answer is too large" },
-            Delivery::MaybeSent);
-      return;
-    }
-    done_(std::move(response_), Delivery::MaybeSent);
-  }
+  void OnEnd() override { done_(std::move(response_), Delivery::MaybeSent); }
 
   void OnFailure(const CallFailure& aFailure) override
   {
@@ -241,70 +364,45 @@
   }
 
 private:
-  const std::size_t limit_;
   HttpClient::WholeCallback done_;
   protocol::HttpResponse response_;
-  bool tooLarge_ = false;
 };
 
 } // namespace
 
 struct HttpClient::Content
 {
-  TlsFiles tls_;
-  /// Held only around the map.
-  std::mutex mutex_;
-  /// Clients by base address and timeout; each keeps a connection pool.
-  std::map<std::string, std::shared_ptr<client::http_client>> clients_;
-
-  std::shared_ptr<client::http_client> Make(const HttpTarget& aTarget) const;
-  std::shared_ptr<client::http_client> Pooled(const HttpTarget& aTarget);
-};
-
-std::shared_ptr<client::http_client>
-HttpClient::Content::Make(const HttpTarget& aTarget) const
-{
-  client::http_client_config config;
-  config.set_timeout(aTarget.timeout_);
-  if (tls_.Enabled() || !tls_.authority_.empty()) {
-    const TlsFiles files = tls_;
-    config.set_ssl_context_callback(
-      [files](boost::asio::ssl::context& aContext) {
-        if (!files.authority_.empty()) {
-          aContext.load_verify_file(files.authority_);
-        }
-        if (files.Enabled()) {
-          aContext.use_certificate_chain_file(files.certificate_);
-          aContext.use_private_key_file(files.key_,
-                                        boost::asio::ssl::context::pem);
-        }
-      });
+  explicit Content(TlsFiles aTls)
+    : tls_(std::move(aTls))
+  {
+    const unsigned count =
+      std::max(kMinThreads, std::thread::hardware_concurrency());
+    for (unsigned i = 0; i < count; ++i) {
+      threads_.emplace_back([this] { RunLoop(loop_); });
+    }
   }
-  return std::make_shared<client::http_client>(web::uri(aTarget.base_), config);
-}
-
-std::shared_ptr<client::http_client>
-HttpClient::Content::Pooled(const HttpTarget& aTarget)
-{
-  // Timeouts are part of the key, rounded up to whole seconds so that callers'
-  // deadlines do not make a pool each.
-  const auto seconds =
-    std::chrono::ceil<std::chrono::seconds>(aTarget.timeout_);
-  const std::string key = aTarget.base_ + " " + std::to_string(seconds.count());
-  const std::lock_guard lock(mutex_);
-  std::shared_ptr<client::http_client>& client = clients_[key];
-  if (!client) {
-    HttpTarget target = aTarget;
-    target.timeout_ = seconds;
-    client = Make(target);
+  ~Content()
+  {
+    loop_.stop();
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
   }
-  return client;
-}
+  Content(const Content&) = delete;
+  Content& operator=(const Content&) = delete;
+
+  const TlsFiles tls_;
+  asio::io_context loop_;
+  const asio::executor_work_guard<asio::io_context::executor_type> work_{
+    loop_.get_executor()
+  };
+  IdleConnections idle_;
+  std::vector<std::thread> threads_;
+};
 
 HttpClient::HttpClient(TlsFiles aTls)
-  : content_(std::make_shared<Content>())
+  : content_(std::make_unique<Content>(std::move(aTls)))
 {
-  content_->tls_ = std::move(aTls);
 }
 
 HttpClient::~HttpClient() = default;
@@ -312,19 +410,28 @@
 std::shared_ptr<HttpCall>
 HttpClient::Start(const HttpTarget& aTarget,
                   const protocol::HttpRequest& aRequest,
-                  const std::shared_ptr<HttpSink>& aSink)
+                  const std::shared_ptr<HttpSink>& aSink,
+                  std::size_t aLimit)
 {
-  auto call = std::make_shared<Call>(aSink);
-  try {
-    auto client = aTarget.freshConnection_ ? content_->Make(aTarget)
-                                           : content_->Pooled(aTarget);
-    call->Run(std::move(client), ToLibrary(aRequest));
-  } catch (const std::exception& error) {
-    aSink->OnFailure(
-      { { make_error_code(core::Errc::InvalidInput), error.what() },
-        Delivery::NotSent });
+  const auto server = ParseTarget(aTarget.base_);
+  auto message = server ? ToMessage(*server, aRequest)
+                        : std::optional<ClientConnection::Request>();
+  if (!message) {
+    aSink->OnFailure({ { make_error_code(core::Errc::InvalidInput),
+                         server ? "not one request" : "not an address" },
+                       Delivery::NotSent });
+    return std::make_shared<CallHandle>(std::weak_ptr<Call>());
   }
-  return call;
+  const auto call = std::make_shared<Call>(aTarget,
+                                           *server,
+                                           std::move(*message),
+                                           aSink,
+                                           aLimit,
+                                           content_->idle_,
+                                           content_->tls_,
+                                           asio::make_strand(content_->loop_));
+  call->Start();
+  return std::make_shared<CallHandle>(call);
 }
 
 std::shared_ptr<HttpCall>
@@ -334,7 +441,7 @@
                   WholeCallback aDone)
 {
   return Start(
-    aTarget, aRequest, std::make_shared<Collector>(aLimit, std::move(aDone)));
+    aTarget, aRequest, std::make_shared<Collector>(std::move(aDone)), aLimit);
 }
 
 core::Result<protocol::HttpResponse>
--- a/transport/HttpClient.hpp
+++ b/transport/HttpClient.hpp
@@ -7,11 +7,13 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
 
-/// HTTP client on cpprestsdk; answers are streamed, nothing blocks.
+/// HTTP/1.1 client with threads of its own; answers are streamed, nothing
+/// blocks.
 namespace crocusslip::transport {
 
 enum class Delivery : std::uint8_t
@@ -52,9 +54,9 @@
   std::string base_;
   /// Longest silence of the server.
   std::chrono::milliseconds timeout_{ 30'000 };
-  /// Takes a connection of its own. The library sends a request again when a
-  /// pooled connection turns out to be closed, so that a call that must not
-  /// run twice may never use a pooled one.
+  /// Takes a connection of its own. A request is sent again when a pooled
+  /// connection turns out to be closed, so that a call that must not run twice
+  /// may never use a pooled one.
   bool freshConnection_ = false;
 };
 
@@ -62,13 +64,17 @@
 {
 public:
   explicit HttpClient(TlsFiles aTls = {});
+  /// Calls that have not ended are dropped; their sinks get no more calls.
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  std::shared_ptr<HttpCall> Start(const HttpTarget& aTarget,
-                                  const protocol::HttpRequest& aRequest,
-                                  const std::shared_ptr<HttpSink>& aSink);
+  /// Fails when the body is longer than aLimit bytes.
+  std::shared_ptr<HttpCall> Start(
+    const HttpTarget& aTarget,
+    const protocol::HttpRequest& aRequest,
+    const std::shared_ptr<HttpSink>& aSink,
+    std::size_t aLimit = std::numeric_limits<std::size_t>::max());
 
   using WholeCallback =
     std::function<void(core::Result<protocol::HttpResponse>, Delivery)>;
@@ -85,7 +91,7 @@
 
 private:
   struct Content;
-  std::shared_ptr<Content> content_;
+  std::unique_ptr<Content> content_;
 };
 
 } // namespace crocusslip::transport
--- a/transport/HttpLink.cpp
+++ b/transport/HttpLink.cpp
@@ -5,12 +5,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <charconv>
-#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -22,11 +20,6 @@
 /// Largest answer to a call of CallOnce, and largest body that SkipRest reads.
 constexpr std::size_t kAnswerBytes = 2UL * 1024 * 1024;
 constexpr std::size_t kSkippedBytes = 64UL * 1024;
-/// Largest head of an answer.
-constexpr std::uint32_t kAnswerHeadBytes = 16 * 1024;
-/// Status codes outside this range are invalid (RFC 9110, section 15).
-constexpr unsigned kLowestStatus = 100;
-constexpr unsigned kHighestStatus = 599;
 /// Interim answers before the answer proper.
 constexpr int kMaxInterimAnswers = 8;
 /// Bytes of a message that are read ahead; bounds what the parser needs in one
@@ -66,31 +59,6 @@
   return got < 0 ? 0 : static_cast<int>(got);
 }
 
-// The parser joins a folded line (RFC 9112, section 5.2) to the field before
-// it, also when it is a field whose name begins with a blank.
-bool
-HasFoldedLine(std::string_view aHead)
-{
-  return aHead.find("\r\n ") != std::string_view::npos ||
-         aHead.find("\r\n\t") != std::string_view::npos;
-}
-
-bool
-HasValidStatus(const http::response_header<>& aHead)
-{
-  return aHead.result_int() >= kLowestStatus &&
-         aHead.result_int() <= kHighestStatus;
-}
-
-// A body in any other transfer coding would be passed on undecoded.
-bool
-HasKnownCoding(const http::response_header<>& aHead)
-{
-  const auto coding = aHead.find(http::field::transfer_encoding);
-  return coding == aHead.end() ||
-         (aHead.version() == 11 && beast::iequals(coding->value(), "chunked"));
-}
-
 } // namespace
 
 std::optional<Tcp::endpoint>
@@ -352,30 +320,20 @@
 Task<bool>
 ServerLink::ReadOneHead()
 {
-  parser_.emplace();
-  parser_->header_limit(kAnswerHeadBytes);
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  while (true) {
+  BeginAnswer(parser_);
+  HeadState state = ParseHead(buffer_, *parser_);
+  while (state == HeadState::Begun) {
     boost::system::error_code error;
-    const auto bytes = buffer_.cdata();
-    const std::size_t used = parser_->put(bytes, error);
-    const bool folded =
-      HasFoldedLine({ static_cast<const char*>(bytes.data()), used });
-    buffer_.consume(used);
-    const auto& head = parser_->get().base();
-    if (folded || !HasValidStatus(head)) {
-      co_return false;
-    }
-    if (error != http::error::need_more) {
-      co_return Note(error) && HasKnownCoding(head);
-    }
     const std::size_t got = co_await stream_.async_read_some(
       buffer_.prepare(kReadBytes), Catch(error));
     buffer_.commit(got);
     if (!Note(error)) {
       co_return false;
     }
+    state = ParseHead(buffer_, *parser_);
   }
+  timedOut_ = false;
+  co_return state == HeadState::Whole;
 }
 
 Task<bool>
--- a/transport/HttpLink.hpp
+++ b/transport/HttpLink.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "core/Error.hpp"
+#include "transport/AnswerParser.hpp"
 #include "transport/Coroutine.hpp"
 #include "transport/RequestReader.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -145,8 +145,6 @@
   std::chrono::seconds serverIdle_{ 0 };
 
 private:
-  using Parser = http::response_parser<http::buffer_body>;
-
   template<typename Body>
   Task<bool> SendMessage(const http::request<Body>& aRequest,
                          std::chrono::nanoseconds aTimeout);
@@ -156,7 +154,7 @@
 
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<AnswerParser> parser_;
   std::string chunk_;
   bool timedOut_ = false;
   bool keepAlive_ = false;
