Report a request as maybe sent after its pooled connection was closed

Callers of the older programs could have been told that a request had not run though it may have: a request that may run again is sent on a new connection when a pooled one is closed without an answer, and if that connection was refused, the failure said NotSent.

Cause: Call took only the last connection's error into account.

Change: once a request has been given to a connection, its failure is MaybeSent.

--- a/tests/BrokenAnswerTest.cpp
+++ b/tests/BrokenAnswerTest.cpp
@@ -180,8 +180,9 @@
          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
        }) {
     for (const std::string& route : kRoutes) {
-      const std::string answer = server.AnswerTo(
-        begin + kSound + "\r\n" + Chunk(kEvent) + kLastChunk, route);
+      std::string bytes = begin;
+      bytes.append(kSound).append("\r\n").append(Chunk(kEvent));
+      const std::string answer = server.AnswerTo(bytes + kLastChunk, route);
       BOOST_TEST(IsBadGateway(answer), begin << " gave " << answer);
       BOOST_TEST(server.IsServed(), begin);
     }
--- a/tests/BrokenClientAnswerTest.cpp
+++ b/tests/BrokenClientAnswerTest.cpp
@@ -118,9 +118,10 @@
 {
   for (const BrokenHead& broken : BrokenFieldNames()) {
     if (!IsFolded(broken)) {
-      const std::string answer =
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n" + kBody +
-        "\r\n0\r\n" + kField + broken.line_ + "\r\n\r\n";
+      std::string answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n";
+      answer.append(kBody).append("\r\n0\r\n").append(kField);
+      answer.append(broken.line_).append("\r\n\r\n");
       BOOST_TEST(!AnswerOf(answer).Ok(), broken.name_);
     }
   }
--- a/tests/HttpTransportTest.cpp
+++ b/tests/HttpTransportTest.cpp
@@ -340,6 +340,45 @@
   BOOST_TEST((delivery.get_future().get() == transport::Delivery::NotSent));
 }
 
+// Guards against a false "not_run" after a pooled connection was closed under a
+// request and the next one was refused.
+BOOST_AUTO_TEST_CASE(reports_a_request_on_a_pooled_connection_as_maybe_sent)
+{
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  transport::HttpTarget target;
+  target.base_ =
+    "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::thread server([&] {
+    tcp::socket socket(context);
+    acceptor.accept(socket);
+    acceptor.close();
+    std::string text;
+    boost::asio::read_until(
+      socket, boost::asio::dynamic_buffer(text), "\r\n\r\n");
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string(
+                         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    text.clear();
+    boost::asio::read_until(
+      socket, boost::asio::dynamic_buffer(text), "\r\n\r\n");
+  });
+  transport::HttpClient client;
+  BOOST_TEST(client.FetchAndWait(target, Deposit()).Ok());
+  std::promise<transport::Delivery> delivery;
+  client.Fetch(target,
+               Deposit(),
+               100,
+               [&](const core::Result<protocol::HttpResponse>& aAnswer,
+                   transport::Delivery aDelivery) {
+                 BOOST_TEST(!aAnswer.Ok());
+                 delivery.set_value(aDelivery);
+               });
+  BOOST_TEST((delivery.get_future().get() == transport::Delivery::MaybeSent));
+  server.join();
+}
+
 // Guards against a cut answer being taken as whole.
 BOOST_AUTO_TEST_CASE(reports_an_answer_cut_short)
 {
--- a/transport/ClientConnection.cpp
+++ b/transport/ClientConnection.cpp
@@ -53,6 +53,7 @@
   }
   aBase.remove_prefix(target.tls_ ? kSecure.size() : kPlain.size());
   const std::string_view authority = aBase.substr(0, aBase.find('/'));
+  target.authority_ = authority;
   target.path_ = aBase.substr(authority.size());
   while (target.path_.ends_with('/')) {
     target.path_.pop_back();
--- a/transport/ClientConnection.hpp
+++ b/transport/ClientConnection.hpp
@@ -24,6 +24,8 @@
 struct ClientTarget
 {
   bool tls_ = false;
+  /// Host and port as given.
+  std::string authority_;
   std::string host_;
   std::string port_;
   /// Before the path of each request.
--- a/transport/HttpClient.cpp
+++ b/transport/HttpClient.cpp
@@ -3,7 +3,6 @@
 #include "transport/ClientConnection.hpp"
 
 #include <algorithm>
-#include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
@@ -56,7 +55,7 @@
   message.version(11);
   message.method_string(aRequest.method_);
   message.target(target);
-  message.set(http::field::host, aTarget.host_ + ":" + aTarget.port_);
+  message.set(http::field::host, aTarget.authority_);
   for (const protocol::HttpHeader& header : aRequest.headers_.All()) {
     if (!IsVisible(header.name_) || !IsFieldValue(header.value_)) {
       return std::nullopt;
@@ -83,7 +82,7 @@
     const std::string name(field.name_string());
     std::string value(field.value());
     if (const auto before = response.headers_.Find(name)) {
-      value = *before + ", " + value;
+      value.insert(0, *before + ", ");
     }
     response.headers_.Set(name, value);
   }
@@ -168,7 +167,7 @@
        std::size_t aLimit,
        IdleConnections& aIdle,
        const TlsFiles& aTls,
-       ClientConnection::Executor aExecutor)
+       const ClientConnection::Executor& aExecutor)
     : target_(std::move(aTarget))
     , server_(std::move(aServer))
     , request_(std::move(aRequest))
@@ -178,7 +177,7 @@
     , tls_(aTls)
     , connection_(target_.freshConnection_ ? nullptr
                                            : idle_.Take(target_.base_))
-    , executor_(connection_ ? connection_->GetExecutor() : std::move(aExecutor))
+    , executor_(connection_ ? connection_->GetExecutor() : aExecutor)
   {
   }
 
@@ -277,20 +276,27 @@
 
   CallFailure FailureOfAsking() const
   {
-    if (!connection_) {
-      return { { make_error_code(core::Errc::ConnectFailed), openFailure_ },
-               Delivery::NotSent };
-    }
+    CallFailure failure;
     if (cancelled_) {
-      return { { make_error_code(core::Errc::ConnectionLost), "cancelled" },
-               Delivery::MaybeSent };
+      failure = { { make_error_code(core::Errc::ConnectionLost), "cancelled" },
+                  Delivery::MaybeSent };
+    } else if (!connection_) {
+      failure = { { make_error_code(core::Errc::ConnectFailed), openFailure_ },
+                  Delivery::NotSent };
+    } else {
+      failure = ToFailure(connection_->Failure());
+    }
+    // It may have arrived on the pooled connection before.
+    if (maybeSent_) {
+      failure.delivery_ = Delivery::MaybeSent;
     }
-    return ToFailure(connection_->Failure());
+    return failure;
   }
 
   Task<bool> Exchange()
   {
     const bool toHead = request_.method() == http::verb::head;
+    maybeSent_ = true;
     const bool sent = co_await connection_->Send(request_);
     co_return sent&& co_await connection_->ReadHead(toHead);
   }
@@ -314,6 +320,7 @@
   Connection connection_;
   const ClientConnection::Executor executor_;
   std::string openFailure_;
+  bool maybeSent_ = false;
   bool cancelled_ = false;
 };
 
