--- a/tests/BrokenAnswerTest.cpp
+++ b/tests/BrokenAnswerTest.cpp
@@ -67,6 +67,15 @@
   int requests_ = 0;
 };
 
+/// One for all cases; each would need ports of its own.
+RawServer&
+Server()
+{
+  static RawServer server;
+  server.staysOpen_ = false;
+  return server;
+}
+
 bool
 IsBadGateway(const std::string& aAnswer)
 {
@@ -101,7 +110,7 @@
 
 BOOST_AUTO_TEST_CASE(DoesNotReachTheCaller)
 {
-  RawServer server;
+  RawServer& server = Server();
   for (const std::string& route : kRoutes) {
     for (const RawAnswer& broken : BrokenAnswers()) {
       const int before = server.arrivals_;
@@ -117,7 +126,7 @@
 // Guards against a wait for the rest of what is no answer.
 BOOST_AUTO_TEST_CASE(IsNoticedBeforeItsHeadEnds)
 {
-  RawServer server;
+  RawServer& server = Server();
   server.staysOpen_ = true;
   for (BrokenHead broken : BrokenHeads()) {
     if (IsFolded(broken)) {
@@ -136,7 +145,7 @@
 // An answer that can't be read says nothing, not even that nothing was run.
 BOOST_AUTO_TEST_CASE(DoesNotPromiseThatNothingWasRun)
 {
-  RawServer server;
+  RawServer& server = Server();
   for (const BrokenHead& broken : BrokenHeads()) {
     const std::string head = Head(broken, kSound + "X-Not-Executed: 1\r\n");
     const int before = server.arrivals_;
@@ -149,7 +158,7 @@
 
 BOOST_AUTO_TEST_CASE(IsNotReadOnBehindAnInterimAnswer)
 {
-  RawServer server;
+  RawServer& server = Server();
   const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + kField + "\r\n";
   const std::string answer = Framed("HTTP/1.1 200 OK\r\n" + kSound)[1];
   // A sound interim answer changes nothing.
@@ -170,7 +179,7 @@
 
 BOOST_AUTO_TEST_CASE(IsNotReadOnBehindATransferCodingThatIsNotKnown)
 {
-  RawServer server;
+  RawServer& server = Server();
   for (const std::string begin : {
          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
@@ -195,7 +204,7 @@
 
 BOOST_AUTO_TEST_CASE(DoesNotEndAnAnswer)
 {
-  RawServer server;
+  RawServer& server = Server();
   const std::string begin = "HTTP/1.1 200 OK\r\n" + kSound + kChunked +
                             Chunk(kEvent) + "0\r\n" + kField;
   for (const std::string& route : kRoutes) {
