--- a/review/common-3/lab.py
+++ b/review/common-3/lab.py
@@ -292,7 +292,7 @@
             while time.monotonic() < end:
                 status = await self.generate(entry, f"m0/{secrets.token_hex(size // 2)}", 15.0, told=False)
                 statuses[status] = statuses.get(status, 0) + 1
-                await asyncio.sleep(pause)
+                await asyncio.sleep(pause if status else 1.0)
         teller = asyncio.get_running_loop().create_task(tell())
         await asyncio.gather(*(one(number) for number in range(clients)))
         teller.cancel()
