--- a/review/common-3/lab.py
+++ b/review/common-3/lab.py
@@ -261,11 +261,11 @@
         return await call(f"{entry.ip}:{self.front}", method, path, body,
                           {"Host": "review.example", "Connection": "close", **headers}, timeout)
 
-    async def generate(self, entry, model, timeout=15.0, told=True):
+    async def generate(self, entry, model, timeout=15.0, told=True, path="/chat/1"):
         """One request of a generation, with the headers of the page."""
         identity = uuid.uuid4().hex
         status, headers, _ = await self.ask(
-            entry, "/chat/1",
+            entry, path,
             {"X-Request-Id": identity, "X-Deadline-Ms": str(int(timeout * 1000)), "X-Token-Count": "100,20",
              "X-Prompt-Prefix": "ab:50,cd:50", "X-Model": model}, b"hello", timeout=timeout + 1)
         if told:
